--- /dev/null
+++ b/src/bin/plantaincrossd.rs
@@ -0,0 +1,10 @@
+//! The daemon that runs on every entry instance.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use plantaincross::cmd::{self, daemon};
+
+fn main() -> ExitCode {
+    cmd::finish(daemon::run(&daemon::Args::parse()))
+}
--- /dev/null
+++ b/src/cmd/diff.rs
@@ -0,0 +1,87 @@
+//! `plantaincross diff FOLDER`
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use serde_json::Value;
+
+use super::{Cell, block_on, print};
+use crate::config::{Config, merge, read_folder};
+use crate::error::{Error, Kind, Result};
+use crate::http::Shown;
+
+/// Compares a folder with the configuration in force.
+///
+/// Prints a line for each value that a push would change: `-` in force, `+` in
+/// the folder.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// Folder with the `.ini` files
+    folder: PathBuf,
+    #[command(flatten)]
+    cell: Cell,
+}
+
+/// Runs the subcommand.
+///
+/// # Errors
+///
+/// Fails if the folder has errors or the instance cannot be asked.
+pub fn run(args: &Args) -> Result<()> {
+    let sources = read_folder(&args.folder)?;
+    let new = merge(&sources).map_err(|faults| {
+        let message = faults.first().map(ToString::to_string).unwrap_or_default();
+        Error::new(Kind::InvalidConfig, message)
+    })?;
+    block_on(async {
+        let shown: Shown = args
+            .cell
+            .client()?
+            .call("GET", "/v1/config", None::<&()>)
+            .await?;
+        for line in changes(&shown.config, &new) {
+            print(line)?;
+        }
+        Ok(())
+    })
+}
+
+/// Returns the lines that tell `old` from `new`.
+pub fn changes(old: &Config, new: &Config) -> Vec<String> {
+    let (old, new) = (flatten(old), flatten(new));
+    let mut lines = Vec::new();
+    let keys: std::collections::BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+    for key in keys {
+        let (before, after) = (old.get(key), new.get(key));
+        if before == after {
+            continue;
+        }
+        if let Some(value) = before {
+            lines.push(format!("-{key} = {value}"));
+        }
+        if let Some(value) = after {
+            lines.push(format!("+{key} = {value}"));
+        }
+    }
+    lines
+}
+
+fn flatten(config: &Config) -> BTreeMap<String, Value> {
+    let mut flat = BTreeMap::new();
+    let value = serde_json::to_value(config).expect("configuration encodes");
+    put(&mut flat, "", value);
+    flat
+}
+
+fn put(flat: &mut BTreeMap<String, Value>, path: &str, value: Value) {
+    match value {
+        Value::Object(map) => {
+            for (key, value) in map {
+                put(flat, &format!("{path}/{key}"), value);
+            }
+        }
+        value => {
+            flat.insert(path.to_owned(), value);
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/key.rs
@@ -0,0 +1,105 @@
+//! `plantaincross key give TEAM | withdraw ID | list`
+
+use clap::Subcommand;
+
+use super::{Cell, block_on, print};
+use crate::error::{Error, Kind, Result};
+use crate::http::{GiveBody, ShownKey, WithdrawnBody};
+use crate::util::sha256;
+
+/// Gives, withdraws and lists keys.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    #[command(subcommand)]
+    action: Action,
+}
+
+#[derive(Debug, Subcommand)]
+enum Action {
+    /// Gives a new key and prints its secret, which is not kept anywhere
+    Give {
+        /// Team that it stands for
+        team: String,
+        /// Name of the key
+        #[arg(long)]
+        id: Option<String>,
+        /// Zone that goes on taking it while cut off
+        #[arg(long)]
+        home_zone: Option<String>,
+        #[command(flatten)]
+        cell: Cell,
+    },
+    /// Withdraws a key for good
+    Withdraw {
+        /// Name of the key
+        id: String,
+        #[command(flatten)]
+        cell: Cell,
+    },
+    /// Lists the keys
+    List {
+        #[command(flatten)]
+        cell: Cell,
+    },
+}
+
+/// Runs the subcommand.
+///
+/// # Errors
+///
+/// Fails if the instance cannot be asked or refuses; a withdrawal that its home
+/// zone has not confirmed fails and names the zone.
+pub fn run(args: &Args) -> Result<()> {
+    match &args.action {
+        Action::Give {
+            team,
+            id,
+            home_zone,
+            cell,
+        } => give(cell, team, id.as_deref(), home_zone.as_deref()),
+        Action::Withdraw { id, cell } => withdraw(cell, id),
+        Action::List { cell } => list(cell),
+    }
+}
+
+fn give(cell: &Cell, team: &str, id: Option<&str>, home_zone: Option<&str>) -> Result<()> {
+    let secret = hex::encode(rand::random::<[u8; 24]>());
+    let id = id.map_or_else(
+        || format!("{team}-{}", hex::encode(rand::random::<[u8; 4]>())),
+        str::to_owned,
+    );
+    let body = GiveBody {
+        id: id.clone(),
+        team: team.to_owned(),
+        digest: hex::encode(sha256(secret.as_bytes())),
+        home_zone: home_zone.map(str::to_owned),
+    };
+    block_on(async {
+        let () = cell.client()?.call("POST", "/v1/keys", Some(&body)).await?;
+        print(format_args!("{id}\t{secret}"))
+    })
+}
+
+fn withdraw(cell: &Cell, id: &str) -> Result<()> {
+    block_on(async {
+        let path = format!("/v1/keys/{id}");
+        let body: WithdrawnBody = cell.client()?.call("DELETE", &path, None::<&()>).await?;
+        if let Some(zone) = body.waits_for {
+            let message = format!("not yet accepted: zone {zone} cannot be reached");
+            return Err(Error::new(Kind::NoQuorum, message));
+        }
+        print("withdrawn")
+    })
+}
+
+fn list(cell: &Cell) -> Result<()> {
+    block_on(async {
+        let keys: Vec<ShownKey> = cell.client()?.call("GET", "/v1/keys", None::<&()>).await?;
+        for key in keys {
+            let state = if key.withdrawn { "withdrawn" } else { "valid" };
+            let home = key.home_zone.as_deref().unwrap_or("-");
+            print(format_args!("{}\t{}\t{home}\t{state}", key.id, key.team))?;
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/src/cmd/local.rs
@@ -0,0 +1,336 @@
+//! `plantaincross local`
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::{print, push};
+use crate::client::Client;
+use crate::config::{Config, Source, merge, read_folder};
+use crate::core::control::Status;
+use crate::error::{Error, Kind, Result};
+use crate::http::{GiveBody, operator_token};
+use crate::node::{self, Started};
+use crate::settings::Settings;
+use crate::standin::{Plan, Upstream};
+use crate::util::sha256;
+
+/// Longest wait for the cell to come up.
+const READY_MAX: Duration = Duration::from_secs(20);
+/// Pause between two looks.
+const READY_PAUSE: Duration = Duration::from_millis(50);
+/// Configuration of a cell that is started without a folder.
+const EXAMPLE: &str = include_str!("../../examples/local/10-local.ini");
+
+/// Starts a whole cell in this process, on loopback, with stand-ins for upstreams.
+///
+/// Runs until Ctrl-C or for the given time, stops gracefully and prints a summary.
+/// Takes about 50 MB and 3 s to come up.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// Seconds to run; until Ctrl-C without it
+    #[arg(long = "for", value_name = "SECONDS")]
+    seconds: Option<u64>,
+    /// Configuration folder; an example without it
+    #[arg(long)]
+    config: Option<PathBuf>,
+    /// Entry instances in each zone
+    #[arg(long, default_value_t = 1)]
+    entries: usize,
+    /// Upstreams in each zone
+    #[arg(long, default_value_t = 3)]
+    upstreams: usize,
+    /// Milliseconds that an upstream takes for one request
+    #[arg(long, default_value_t = 20)]
+    service_ms: u64,
+    /// Folder for data; a temporary one without it
+    #[arg(long)]
+    data: Option<PathBuf>,
+}
+
+/// Runs the subcommand.
+///
+/// # Errors
+///
+/// Fails if the cell does not come up.
+pub fn run(args: &Args) -> Result<()> {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?
+        .block_on(local(args))
+}
+
+async fn local(args: &Args) -> Result<()> {
+    let sources = match &args.config {
+        Some(folder) => read_folder(folder)?,
+        None => vec![Source {
+            name: "10-local.ini".to_owned(),
+            text: EXAMPLE.to_owned(),
+        }],
+    };
+    let config = merge(&sources).map_err(|faults| {
+        let message = faults.first().map(ToString::to_string).unwrap_or_default();
+        Error::new(Kind::InvalidConfig, message)
+    })?;
+    let data = Data::new(args.data.as_deref())?;
+    let secret = hex::encode(rand::random::<[u8; 16]>());
+    std::fs::write(data.path.join("secret"), &secret)?;
+    let cell = Cell::start(&config, args, &data.path, secret.as_bytes()).await?;
+    let stand_ins = CancellationToken::new();
+    let mut operator = cell.operator(secret.as_bytes());
+    let keys = prepare(&mut operator, &config, sources).await?;
+    start_upstreams(&config, args, &cell.addresses, &stand_ins).await?;
+    wait_serving(&cell, &config, &keys).await?;
+    introduce(&cell, &config, &keys, &data.path)?;
+    let seconds = args.seconds.map(Duration::from_secs);
+    wait_end(seconds).await?;
+    let all: Vec<Status> = operator.call("GET", "/v1/status", None::<&()>).await?;
+    cell.stop().await;
+    stand_ins.cancel();
+    summarise(&all)
+}
+
+/// The data folder of a local cell, removed at the end if it was made for it.
+struct Data {
+    path: PathBuf,
+    temporary: bool,
+}
+
+impl Data {
+    fn new(given: Option<&Path>) -> Result<Self> {
+        let (path, temporary) = match given {
+            Some(path) => (path.to_owned(), false),
+            None => {
+                let name = format!("plantaincross-{:016x}", rand::random::<u64>());
+                (std::env::temp_dir().join(name), true)
+            }
+        };
+        std::fs::create_dir_all(&path)?;
+        Ok(Self { path, temporary })
+    }
+}
+
+impl Drop for Data {
+    fn drop(&mut self) {
+        if self.temporary {
+            let _ = std::fs::remove_dir_all(&self.path);
+        }
+    }
+}
+
+/// The instances of a local cell.
+struct Cell {
+    addresses: Vec<SocketAddr>,
+    stop: CancellationToken,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Cell {
+    async fn start(config: &Config, args: &Args, data: &Path, secret: &[u8]) -> Result<Self> {
+        let mut sockets = Vec::new();
+        for zone in zones(config) {
+            for at in 0..args.entries.max(1) {
+                let http = TcpListener::bind(("127.0.0.1", 0)).await?;
+                let peer = TcpListener::bind(("127.0.0.1", 0)).await?;
+                sockets.push((format!("{zone}-{at}"), zone.clone(), http, peer));
+            }
+        }
+        let seeds: Vec<String> = sockets
+            .iter()
+            .map(|(_, _, _, peer)| Ok(peer.local_addr()?.to_string()))
+            .collect::<Result<_>>()?;
+        // An odd number of founders, spread over the zones.
+        let founders: Vec<String> = spread(&sockets, if sockets.len() < 3 { 1 } else { 3 });
+        let stop = CancellationToken::new();
+        let mut cell = Self {
+            addresses: Vec::new(),
+            stop,
+            tasks: Vec::new(),
+        };
+        for (name, zone, http, peer) in sockets {
+            let mut settings =
+                Settings::new(&name, &zone, http.local_addr()?, peer.local_addr()?, secret);
+            settings.seeds.clone_from(&seeds);
+            settings.founders.clone_from(&founders);
+            settings.drain_notice = Duration::from_millis(300);
+            if founders.contains(&name) {
+                settings.data = Some(data.join(&name));
+            }
+            let started = node::start_on(settings, http, peer).await?;
+            cell.add(started);
+        }
+        Ok(cell)
+    }
+
+    fn add(&mut self, started: Started) {
+        self.addresses.push(started.http);
+        let stop = self.stop.clone();
+        let task = tokio::spawn(started.serve(async move { stop.cancelled().await }));
+        self.tasks.push(task);
+    }
+
+    fn operator(&self, secret: &[u8]) -> Client {
+        let token = Some(operator_token(secret));
+        Client::new(self.addresses[0], token, Duration::from_secs(5))
+    }
+
+    async fn stop(self) {
+        self.stop.cancel();
+        for task in self.tasks {
+            let _ = task.await;
+        }
+    }
+}
+
+fn zones(config: &Config) -> Vec<String> {
+    if config.cell.zones.is_empty() {
+        return vec!["zone-a".to_owned(), "zone-b".to_owned()];
+    }
+    config.cell.zones.clone()
+}
+
+fn spread(sockets: &[(String, String, TcpListener, TcpListener)], count: usize) -> Vec<String> {
+    let step = sockets.len().div_ceil(count);
+    sockets
+        .iter()
+        .step_by(step.max(1))
+        .take(count)
+        .map(|(name, ..)| name.clone())
+        .collect()
+}
+
+/// Pushes the configuration and gives each team a key; yields the secrets.
+async fn prepare(
+    operator: &mut Client,
+    config: &Config,
+    sources: Vec<Source>,
+) -> Result<BTreeMap<String, String>> {
+    let started = Instant::now();
+    loop {
+        match push::push(operator, 0, "local", sources.clone()).await {
+            Ok(_) => break,
+            Err(err) if started.elapsed() > READY_MAX => return Err(err),
+            Err(_) => sleep(READY_PAUSE).await,
+        }
+    }
+    let mut keys = BTreeMap::new();
+    for team in config.teams.keys() {
+        let secret = hex::encode(rand::random::<[u8; 12]>());
+        let body = GiveBody {
+            id: format!("{team}-1"),
+            team: team.clone(),
+            digest: hex::encode(sha256(secret.as_bytes())),
+            home_zone: None,
+        };
+        let () = operator.call("POST", "/v1/keys", Some(&body)).await?;
+        keys.insert(team.clone(), secret);
+    }
+    Ok(keys)
+}
+
+async fn start_upstreams(
+    config: &Config,
+    args: &Args,
+    entries: &[SocketAddr],
+    token: &CancellationToken,
+) -> Result<()> {
+    for zone in zones(config) {
+        for service in config.services.keys() {
+            for at in 0..args.upstreams {
+                let plan = Plan {
+                    name: format!("{service}-{zone}-{at}"),
+                    zone: zone.clone(),
+                    service: service.clone(),
+                    slots: 8,
+                    connections: 64,
+                    service_time: Duration::from_millis(args.service_ms),
+                    counts: true,
+                };
+                Upstream::start(plan, entries.to_vec(), None, token.child_token()).await?;
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Waits until every entry instance has answered a request of every team's key.
+async fn wait_serving(cell: &Cell, config: &Config, keys: &BTreeMap<String, String>) -> Result<()> {
+    let started = Instant::now();
+    let Some(service) = config.services.keys().next() else {
+        return Ok(());
+    };
+    for &address in &cell.addresses {
+        for secret in keys.values() {
+            loop {
+                let path = format!("/v1/services/{service}/ready");
+                let mut client = Client::new(address, Some(secret.clone()), Duration::from_secs(2));
+                let answer = client.send("GET", &path, &[], "").await;
+                if answer.is_ok_and(|a| a.status().is_success()) {
+                    break;
+                }
+                if started.elapsed() > READY_MAX {
+                    return Err(Error::new(Kind::Internal, "the cell did not come up"));
+                }
+                sleep(READY_PAUSE).await;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn introduce(
+    cell: &Cell,
+    config: &Config,
+    keys: &BTreeMap<String, String>,
+    data: &Path,
+) -> Result<()> {
+    for address in &cell.addresses {
+        print(format_args!("entry instance  http://{address}"))?;
+    }
+    for (team, secret) in keys {
+        print(format_args!("key of {team}  {secret}"))?;
+    }
+    let at = cell.addresses[0];
+    print(format_args!(
+        "operators       --at {at} --secret-file {}/secret",
+        data.display()
+    ))?;
+    let service = config.services.keys().next();
+    let key = keys.values().next();
+    if let (Some(service), Some(key)) = (service, key) {
+        print("")?;
+        print(format_args!(
+            "curl -sS -X POST -H 'Authorization: Bearer {key}' -H 'Idempotency-Key: order-1' \
+             -d '12 reams' http://{at}/v1/services/{service}/orders"
+        ))?;
+    }
+    Ok(())
+}
+
+async fn wait_end(seconds: Option<Duration>) -> Result<()> {
+    let interrupted = tokio::signal::ctrl_c();
+    match seconds {
+        Some(seconds) => {
+            let _ = timeout(seconds, interrupted).await;
+        }
+        None => interrupted.await?,
+    }
+    Ok(())
+}
+
+fn summarise(all: &[Status]) -> Result<()> {
+    let mut sums: BTreeMap<&str, u64> = BTreeMap::new();
+    for stat in all.iter().flat_map(|s| &s.teams) {
+        *sums.entry(&stat.team).or_default() += stat.completed;
+    }
+    print("")?;
+    for (team, completed) in sums {
+        print(format_args!("{team}: {completed} requests completed"))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/team.rs
@@ -0,0 +1,56 @@
+//! `plantaincross team list`
+
+use std::collections::BTreeMap;
+
+use clap::Subcommand;
+
+use super::{Cell, block_on, print};
+use crate::core::control::Status;
+use crate::error::Result;
+use crate::http::Shown;
+
+/// Shows the teams with their shares, limits and running work.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    #[command(subcommand)]
+    action: Action,
+}
+
+#[derive(Debug, Subcommand)]
+enum Action {
+    /// Lists the teams: name, share, limit, running, waiting, completed
+    List {
+        #[command(flatten)]
+        cell: Cell,
+    },
+}
+
+/// Runs the subcommand.
+///
+/// # Errors
+///
+/// Fails if the instance cannot be asked.
+pub fn run(args: &Args) -> Result<()> {
+    let Action::List { cell } = &args.action;
+    block_on(async {
+        let mut client = cell.client()?;
+        let shown: Shown = client.call("GET", "/v1/config", None::<&()>).await?;
+        let all: Vec<Status> = client.call("GET", "/v1/status", None::<&()>).await?;
+        let mut sums: BTreeMap<&str, (u64, u64, u64)> = BTreeMap::new();
+        for stat in all.iter().flat_map(|s| &s.teams) {
+            let sum = sums.entry(&stat.team).or_default();
+            sum.0 += stat.running;
+            sum.1 += stat.waiting;
+            sum.2 += stat.completed;
+        }
+        for (name, team) in &shown.config.teams {
+            let (running, waiting, completed) =
+                sums.get(name.as_str()).copied().unwrap_or_default();
+            print(format_args!(
+                "{name}\t{}\t{}\t{running}\t{waiting}\t{completed}",
+                team.share, team.limit
+            ))?;
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/src/cmd/timeline.rs
@@ -0,0 +1,114 @@
+//! `plantaincross timeline [--request ID] [--job ID] [--follow]`
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::{Cell, block_on, print};
+use crate::client::Client;
+use crate::error::Result;
+use crate::event::Record;
+use crate::http::Events;
+
+/// Pause between two looks with `--follow`.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
+
+/// Merges the events of several instances into one time line.
+///
+/// Every instance keeps its latest 20,000 events. Costs one request to each
+/// instance, and one every half second with `--follow`.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// HTTP addresses of further instances
+    #[arg(long)]
+    also: Vec<SocketAddr>,
+    /// Only events whose line contains this text: a request, job, team or instance
+    #[arg(long)]
+    only: Vec<String>,
+    /// Only events with these numbers
+    #[arg(long)]
+    number: Vec<u16>,
+    /// Go on with new events until interrupted
+    #[arg(long)]
+    follow: bool,
+    #[command(flatten)]
+    cell: Cell,
+}
+
+/// Runs the subcommand.
+///
+/// # Errors
+///
+/// Fails if an instance cannot be asked.
+pub fn run(args: &Args) -> Result<()> {
+    block_on(async {
+        let mut clients = vec![args.cell.client()?];
+        for &at in &args.also {
+            let cell = Cell {
+                at,
+                ..args.cell.clone()
+            };
+            clients.push(cell.client()?);
+        }
+        let mut seen = vec![0; clients.len()];
+        loop {
+            for record in collect(&mut clients, &mut seen).await? {
+                let line = format_line(&record);
+                if wanted(args, &record, &line) {
+                    print(line)?;
+                }
+            }
+            if !args.follow {
+                return Ok(());
+            }
+            tokio::time::sleep(FOLLOW_PAUSE).await;
+        }
+    })
+}
+
+/// Fetches the records after those seen from every instance, in order.
+async fn collect(clients: &mut [Client], seen: &mut [u64]) -> Result<Vec<Record>> {
+    let mut merged = BTreeMap::new();
+    for (client, seen) in clients.iter_mut().zip(seen) {
+        loop {
+            let path = format!("/v1/events?after={seen}");
+            let events: Events = client.call("GET", &path, None::<&()>).await?;
+            let Some(last) = events.records.last() else {
+                break;
+            };
+            *seen = last.seq;
+            for record in events.records {
+                merged.insert((record.at, record.instance.clone(), record.seq), record);
+            }
+        }
+    }
+    Ok(merged.into_values().collect())
+}
+
+fn format_line(record: &Record) -> String {
+    let event = serde_json::to_value(&record.event).expect("event encodes");
+    let fields: Vec<String> = event
+        .as_object()
+        .into_iter()
+        .flatten()
+        .filter(|(key, _)| *key != "event")
+        .map(|(key, value)| match value.as_str() {
+            Some(text) => format!("{key}={text}"),
+            None => format!("{key}={value}"),
+        })
+        .collect();
+    format!(
+        "{}.{:03} {} {} {} {}",
+        record.at.millis,
+        record.at.count,
+        record.instance,
+        record.number,
+        record.event.name(),
+        fields.join(" ")
+    )
+}
+
+fn wanted(args: &Args, record: &Record, line: &str) -> bool {
+    let by_number = args.number.is_empty() || args.number.contains(&record.number);
+    by_number && args.only.iter().all(|text| line.contains(text))
+}
--- /dev/null
+++ b/src/core/agent.rs
@@ -0,0 +1,309 @@
+//! The entry instance's side of the allotments: reports to zone leaders and takes
+//! what they allot into the gate.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::core::escrow::Cell;
+use crate::core::gate::{Announcement, Gate, SourceKey, cell_of};
+use crate::core::office::ALLOTMENT_TERM;
+use crate::core::registry::InstanceId;
+use crate::core::time::Moment;
+use crate::wire;
+
+/// Interval of reports while nothing waits.
+const REPORT_EVERY: Duration = Duration::from_millis(250);
+/// Interval of reports while requests wait.
+const REPORT_STARVED_EVERY: Duration = Duration::from_millis(40);
+/// Waiting time after which other zones are asked for slots.
+const REMOTE_AFTER: Duration = Duration::from_millis(300);
+
+/// Balances that newly opened accounts start from.
+#[derive(Clone, Debug, Default)]
+struct Opening {
+    slots: Vec<(Cell, u64)>,
+    units: Vec<(Cell, u64)>,
+}
+
+/// The relation to the leader of one zone.
+#[derive(Debug)]
+struct Source {
+    key: SourceKey,
+    local: bool,
+    leader: InstanceId,
+    epoch: u64,
+    opening: Option<Opening>,
+    number: u64,
+    received: u64,
+    sent_at: Moment,
+    unacked: BTreeMap<Cell, (u64, u64)>,
+    acked: BTreeMap<Cell, u64>,
+    applied: u64,
+}
+
+/// Reports of one entry instance to all zone leaders.
+#[derive(Debug)]
+pub struct Agent {
+    zone: String,
+    sources: BTreeMap<String, Source>,
+    starved_since: Option<Moment>,
+    leaving: bool,
+}
+
+impl Agent {
+    /// Makes the agent of an entry instance in `zone`.
+    pub const fn new(zone: String) -> Self {
+        Self {
+            zone,
+            sources: BTreeMap::new(),
+            starved_since: None,
+            leaving: false,
+        }
+    }
+
+    /// Announces the planned stop in every further report.
+    pub const fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Returns the position in the log that the own zone's leader had applied at
+    /// its latest allotment.
+    pub fn zone_applied(&self) -> u64 {
+        self.sources.get(&self.zone).map_or(0, |s| s.applied)
+    }
+
+    /// Returns the key of the own zone's leader in the gate, if it has one.
+    pub fn own_source(&self) -> Option<SourceKey> {
+        self.sources.get(&self.zone).map(|s| s.key)
+    }
+
+    /// Takes the leaders of all zones.
+    pub fn set_leader(&mut self, gate: &mut Gate, zone: &str, leader: InstanceId) {
+        let next = u16::try_from(self.sources.len()).expect("fewer than 65,536 zones");
+        let local = zone == self.zone;
+        let source = self
+            .sources
+            .entry(zone.to_owned())
+            .or_insert_with(|| Source {
+                key: SourceKey(next),
+                local,
+                leader,
+                epoch: 0,
+                opening: None,
+                number: 0,
+                received: 0,
+                sent_at: Moment::ZERO,
+                unacked: BTreeMap::new(),
+                acked: BTreeMap::new(),
+                applied: 0,
+            });
+        source.leader = leader;
+        if local {
+            gate.set_team_source(source.key);
+        }
+    }
+
+    /// Returns the reports due at `now` with their receivers.
+    pub fn tick(&mut self, now: Moment, gate: &mut Gate) -> Vec<(InstanceId, wire::Report)> {
+        let starved = gate.is_starved();
+        if !starved {
+            self.starved_since = None;
+        } else if self.starved_since.is_none() {
+            self.starved_since = Some(now);
+        }
+        let ask_remote = self
+            .starved_since
+            .is_some_and(|since| now.since(since) >= REMOTE_AFTER);
+        let every = if starved || self.leaving {
+            REPORT_STARVED_EVERY
+        } else {
+            REPORT_EVERY
+        };
+        let zone = self.zone.clone();
+        let mut reports = Vec::new();
+        for (name, source) in &mut self.sources {
+            if now.since(source.sent_at) < every {
+                continue;
+            }
+            if !source.local && !ask_remote && !gate.return_source(source.key) {
+                continue;
+            }
+            let wants = source.local || ask_remote;
+            let mut report = source.report(now, gate, wants);
+            report.zone.clone_from(name);
+            report.from_zone.clone_from(&zone);
+            report.leaving = self.leaving;
+            reports.push((source.leader, report));
+        }
+        reports
+    }
+
+    /// Takes an allotment from the leader of a zone.
+    pub fn take(&mut self, gate: &mut Gate, now: Moment, allotment: &wire::Allotment) {
+        let Some(source) = self.sources.get_mut(&allotment.zone) else {
+            return;
+        };
+        for info in &allotment.upstreams {
+            take_upstream(gate, source, &allotment.zone, info);
+        }
+        if allotment.reopen {
+            source.reopen(now, gate, allotment.epoch);
+            return;
+        }
+        if allotment.epoch != source.epoch {
+            return;
+        }
+        source.opening = None;
+        source.received = source.received.max(allotment.number);
+        source.applied = source.applied.max(allotment.applied);
+        gate.renew(source.key, Moment(allotment.sent_at) + ALLOTMENT_TERM);
+        for balance in &allotment.slots {
+            gate.receive_slots(Cell(balance.cell), balance.given);
+        }
+        if source.local {
+            gate.receive_unit_balances(&allotment.units);
+        }
+        source.acknowledge(allotment.answers);
+        for recall in &allotment.recall_slots {
+            gate.return_slots(source.key, &recall.name, recall.units);
+        }
+        for recall in &allotment.recall_units {
+            if let Some(team) = gate.team(&recall.name) {
+                gate.return_units(team, recall.units);
+            }
+        }
+        if !allotment.recall_slots.is_empty() || !allotment.recall_units.is_empty() {
+            // The return is reported at the next tick.
+            source.sent_at = Moment::ZERO;
+        }
+    }
+}
+
+impl Source {
+    fn reopen(&mut self, now: Moment, gate: &mut Gate, epoch: u64) {
+        if self.epoch == epoch && self.opening.is_some() {
+            return;
+        }
+        self.epoch = epoch;
+        self.received = 0;
+        self.number = 0;
+        self.unacked.clear();
+        self.acked.clear();
+        let slots = gate.reopen_slots(now, self.key);
+        let units = if self.local {
+            gate.reopen_units(now)
+        } else {
+            Vec::new()
+        };
+        self.opening = Some(Opening { slots, units });
+        self.sent_at = Moment::ZERO;
+    }
+
+    fn report(&mut self, now: Moment, gate: &mut Gate, wants: bool) -> wire::Report {
+        self.sent_at = now;
+        self.number += 1;
+        let mut report = wire::Report {
+            epoch: self.epoch,
+            sent_at: now.0,
+            received: self.received,
+            number: self.number,
+            ..wire::Report::default()
+        };
+        if wants {
+            report.demands = demands(gate);
+        }
+        if let Some(Opening { slots, units }) = &self.opening {
+            report.opening = true;
+            report.slots = slots.iter().map(|&(c, held)| opening(c, held)).collect();
+            report.units = units.iter().map(|&(c, held)| opening(c, held)).collect();
+            return report;
+        }
+        let slots: Vec<(Cell, u64)> = gate
+            .slot_accounts(self.key)
+            .into_iter()
+            .map(|(cell, account)| (cell, account.returned))
+            .collect();
+        report.slots = self.changed(&slots);
+        if self.local {
+            let units: Vec<(Cell, u64)> = gate
+                .unit_accounts()
+                .into_iter()
+                .map(|(cell, account)| (cell, account.returned))
+                .collect();
+            report.units = self.changed(&units);
+        }
+        report
+    }
+
+    fn changed(&mut self, counters: &[(Cell, u64)]) -> Vec<wire::Balance> {
+        let mut balances = Vec::new();
+        for &(cell, returned) in counters {
+            if self.acked.get(&cell).copied().unwrap_or(0) == returned {
+                continue;
+            }
+            let number = self.number;
+            let unacked = self.unacked.entry(cell).or_insert((returned, number));
+            if unacked.0 != returned {
+                *unacked = (returned, number);
+            }
+            balances.push(wire::Balance {
+                cell: cell.0,
+                given: 0,
+                returned,
+            });
+        }
+        balances
+    }
+
+    fn acknowledge(&mut self, answered: u64) {
+        let acked = &mut self.acked;
+        self.unacked.retain(|&cell, &mut (returned, number)| {
+            if number <= answered {
+                acked.insert(cell, returned);
+                return false;
+            }
+            true
+        });
+    }
+}
+
+fn take_upstream(gate: &mut Gate, source: &Source, zone: &str, info: &wire::UpstreamInfo) {
+    let Ok(address) = info.address.parse() else {
+        return;
+    };
+    let announcement = Announcement {
+        name: info.name.clone(),
+        incarnation: info.incarnation,
+        service: info.service.clone(),
+        zone: zone.to_owned(),
+        address,
+        slots: info.slots,
+        connections: info.connections,
+    };
+    let cell = cell_of(&announcement);
+    gate.put_upstream(announcement, source.key, !source.local);
+    gate.set_leaving(cell, info.leaving);
+    if info.leaving {
+        gate.return_upstream(cell);
+    }
+}
+
+fn demands(gate: &Gate) -> Vec<wire::Demand> {
+    gate.demands()
+        .into_iter()
+        .map(|d| wire::Demand {
+            service: gate.service_name(d.service).to_owned(),
+            team: gate.team_name(d.team).to_owned(),
+            waiting: d.waiting,
+            running: d.running,
+        })
+        .collect()
+}
+
+const fn opening(cell: Cell, held: u64) -> wire::Balance {
+    wire::Balance {
+        cell: cell.0,
+        given: held,
+        returned: 0,
+    }
+}
--- /dev/null
+++ b/src/core/consensus/mod.rs
@@ -0,0 +1,15 @@
+//! Agreement among the replicas of the root group, as a pure state machine.
+//!
+//! Source: Ongaro, Consensus: Bridging Theory and Practice (Raft), with
+//! pre-vote, check-quorum, leader lease and member changes one at a time.
+
+mod log;
+mod progress;
+mod replica;
+mod transfer;
+
+pub use log::{Log, Snapshot};
+pub use progress::Progress;
+pub use replica::{
+    ELECTION_MAX, ELECTION_MIN, HEARTBEAT_EVERY, Hard, NotLeader, Ready, Replica, Stored,
+};
--- /dev/null
+++ b/src/core/consensus/transfer.rs
@@ -0,0 +1,88 @@
+//! Receiving a snapshot in parts, resumable by offset.
+
+use bytes::{Bytes, BytesMut};
+
+use super::log::Snapshot;
+use crate::wire::{SnapshotPart, Voter};
+
+/// Size of one part, in bytes.
+pub const PART_BYTES: usize = 64 << 10;
+
+/// A snapshot that has arrived in part.
+#[derive(Debug)]
+pub struct Incoming {
+    index: u64,
+    term: u64,
+    total: u64,
+    crc: u32,
+    voters: Vec<Voter>,
+    data: BytesMut,
+}
+
+impl Incoming {
+    /// Starts the reception of the snapshot that `part` belongs to.
+    pub fn new(part: &SnapshotPart) -> Self {
+        Self {
+            index: part.index,
+            term: part.term,
+            total: part.total,
+            crc: part.crc,
+            voters: part.voters.clone(),
+            data: BytesMut::new(),
+        }
+    }
+
+    /// Returns whether `part` belongs to the same snapshot.
+    pub const fn matches(&self, part: &SnapshotPart) -> bool {
+        self.index == part.index
+            && self.term == part.term
+            && self.total == part.total
+            && self.crc == part.crc
+    }
+
+    /// Returns the bytes received without a gap.
+    pub fn received(&self) -> u64 {
+        self.data.len() as u64
+    }
+
+    /// Adds a part if it continues what is there.
+    pub fn add(&mut self, part: &SnapshotPart) {
+        if part.offset == self.received() {
+            self.data.extend_from_slice(&part.data);
+        }
+    }
+
+    /// Returns whether all bytes are there.
+    pub fn is_complete(&self) -> bool {
+        self.received() >= self.total
+    }
+
+    /// Checks and returns the snapshot; `None` if its checksum differs.
+    pub fn finish(self) -> Option<Snapshot> {
+        let data: Bytes = self.data.freeze();
+        (crc32fast::hash(&data) == self.crc).then_some(Snapshot {
+            index: self.index,
+            term: self.term,
+            voters: self.voters,
+            data,
+        })
+    }
+}
+
+/// Cuts the part at `offset` out of a snapshot.
+pub fn part_of(snapshot: &Snapshot, crc: u32, offset: u64, sent_at: u64) -> SnapshotPart {
+    let start = usize::try_from(offset)
+        .unwrap_or(usize::MAX)
+        .min(snapshot.data.len());
+    let end = (start + PART_BYTES).min(snapshot.data.len());
+    SnapshotPart {
+        index: snapshot.index,
+        term: snapshot.term,
+        offset: start as u64,
+        total: snapshot.data.len() as u64,
+        data: snapshot.data.slice(start..end),
+        crc,
+        voters: snapshot.voters.clone(),
+        sent_at,
+    }
+}
--- /dev/null
+++ b/src/core/control/query.rs
@@ -0,0 +1,249 @@
+//! Questions between instances and to this one, and who answers them.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Control, Origin};
+use crate::core::claim;
+use crate::core::gate::TeamStat;
+use crate::core::office::Heartbeat;
+use crate::core::registry::{Command, InstanceId, Outcome, Push};
+use crate::core::time::Moment;
+use crate::error::{Error, Kind};
+
+/// Who is to answer a question.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// This instance.
+    Here,
+    /// The leader of the root group.
+    Root,
+    /// The leader of a zone.
+    Zone(String),
+    /// A given instance.
+    Instance(InstanceId),
+}
+
+/// A question.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Query {
+    /// Put a command into the log.
+    Propose(Command),
+    /// Take an upstream's heartbeat.
+    Announce(Heartbeat),
+    /// Take a zone's demand for team units.
+    Wants(super::root::ZoneWants),
+    /// Tell whether the zone leader has applied the log up to this position.
+    Applied(u64),
+    /// Tell how the instance stands.
+    Status,
+    /// Return the accepted pushes.
+    History,
+    /// Claim a request id whose home is the zone.
+    Claim(claim::Attempt),
+    /// Tell the home of a claim how the run ended.
+    Settle(claim::Settlement),
+    /// Keep copies of claims of a zone.
+    Copy(claim::Batch),
+    /// Return all copies of claims of a zone.
+    Fetch(String),
+    /// Name a new leader for a zone whose roster is silent.
+    Replace(String),
+}
+
+/// Answer to a question.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// Done.
+    Done,
+    /// What applying the command gave.
+    Outcome(Outcome),
+    /// Units of teams that the zone should return.
+    Recalls(Vec<(String, u64)>),
+    /// How the instance stands.
+    Status(Box<Status>),
+    /// Accepted pushes, oldest first.
+    History(Vec<Push>),
+    /// What became of a claim.
+    Verdict(claim::Verdict),
+    /// Copies of claims.
+    Copies(claim::Batch),
+    /// It failed.
+    Failed(Error),
+}
+
+/// A peer as another instance sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerStatus {
+    /// Run of its process.
+    pub id: InstanceId,
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+}
+
+/// How one instance stands.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Run of its process.
+    pub id: InstanceId,
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Version of the configuration in force.
+    pub version: u64,
+    /// Position in the log.
+    pub applied: u64,
+    /// Age of its knowledge of the root group's state, in milliseconds.
+    pub fresh_ms: Option<u64>,
+    /// Root leader's name, if known.
+    pub root_leader: Option<String>,
+    /// Voters of the root group.
+    pub voters: Vec<String>,
+    /// Term of the root group.
+    pub root_term: u64,
+    /// Whether it may act as leader of its zone.
+    pub leads_zone: bool,
+    /// Term of its zone's leadership.
+    pub zone_term: u64,
+    /// Peers that it hears.
+    pub peers: Vec<PeerStatus>,
+    /// Figures of teams at its gate.
+    pub teams: Vec<TeamStat>,
+}
+
+impl Control {
+    pub(super) fn ask(&mut self, now: Moment, call: u64, target: &Target, query: Query) {
+        let origin = Origin::Local(call);
+        if let Query::Propose(Command::WithdrawKey { id }) = &query {
+            // The withdrawal spreads at once by every path.
+            self.take_withdrawn(vec![id.clone()]);
+        }
+        self.route(now, origin, target, query);
+    }
+
+    pub(super) fn route(&mut self, now: Moment, origin: Origin, target: &Target, query: Query) {
+        let to = match target {
+            Target::Here => Some(self.me.id),
+            Target::Root => self.root_leader(),
+            Target::Zone(zone) => self.zone_leader(zone),
+            Target::Instance(id) => Some(*id),
+        };
+        match to {
+            Some(id) if id == self.me.id => self.handle(now, origin, query),
+            Some(id) if self.peers.contains_key(&id) => self.forward(now, id, origin, &query),
+            _ => {
+                let message = match target {
+                    Target::Zone(zone) => format!("the leader of zone {zone} cannot be reached"),
+                    _ => "the root group cannot be reached".to_owned(),
+                };
+                self.answer(
+                    now,
+                    origin,
+                    Answer::Failed(Error::new(Kind::NoQuorum, message)),
+                );
+            }
+        }
+    }
+
+    pub(super) fn handle(&mut self, now: Moment, origin: Origin, query: Query) {
+        match query {
+            Query::Propose(command) => self.propose(now, origin, &command, None),
+            Query::Announce(beat) => {
+                let answer = self.announce(now, &beat);
+                self.answer(now, origin, answer);
+            }
+            Query::Wants(wants) => {
+                let answer = self.take_wants(now, wants);
+                self.answer(now, origin, answer);
+            }
+            Query::Applied(at) => {
+                let answer = self.confirm_applied(now, at);
+                self.answer(now, origin, answer);
+            }
+            Query::Status => {
+                let status = self.status(now);
+                self.answer(now, origin, Answer::Status(Box::new(status)));
+            }
+            Query::History => {
+                let history = self.registry.history.iter().cloned().collect();
+                self.answer(now, origin, Answer::History(history));
+            }
+            Query::Claim(attempt) => self.take_claim(now, origin, &attempt),
+            Query::Settle(settlement) => self.take_settlement(now, origin, settlement),
+            Query::Copy(batch) => {
+                self.take_copies(now, batch);
+                self.answer(now, origin, Answer::Done);
+            }
+            Query::Fetch(zone) => {
+                let batch = self.copies_of(now, &zone);
+                self.answer(now, origin, Answer::Copies(batch));
+            }
+            Query::Replace(zone) => self.replace_zone(now, origin, &zone),
+        }
+    }
+
+    pub(super) fn propose(
+        &mut self,
+        now: Moment,
+        origin: Origin,
+        command: &Command,
+        naming: Option<String>,
+    ) {
+        let body = postcard::to_allocvec(command).expect("command encodes");
+        match self.replica.propose(body.into()) {
+            Ok(index) => {
+                let term = self.replica.term();
+                let origin = (origin != super::root::NOBODY).then_some(origin);
+                self.proposals.insert(index, (term, origin, naming));
+            }
+            Err(err) => {
+                if let Some(zone) = naming {
+                    self.register.end_naming(&zone);
+                }
+                let err = Error::new(Kind::NoQuorum, err.to_string());
+                self.answer(now, origin, Answer::Failed(err));
+            }
+        }
+    }
+
+    fn status(&self, now: Moment) -> Status {
+        let gate = self.gate.lock().expect("gate lock");
+        let leader = self.root_leader();
+        let name_of = |id: InstanceId| {
+            if id == self.me.id {
+                return Some(self.me.name.clone());
+            }
+            self.peers.get(&id).map(|k| k.peer.name.clone())
+        };
+        Status {
+            id: self.me.id,
+            name: self.me.name.clone(),
+            zone: self.me.zone.clone(),
+            version: self.registry.version,
+            applied: self.registry.applied,
+            fresh_ms: self.fresh.age(now).map(|age| age.as_millis() as u64),
+            root_leader: leader.and_then(name_of),
+            voters: self
+                .replica
+                .voters()
+                .iter()
+                .map(|v| v.name.clone())
+                .collect(),
+            root_term: self.replica.term(),
+            leads_zone: self.seat.may_act(now),
+            zone_term: self.seat.term(),
+            peers: self
+                .peers
+                .values()
+                .map(|k| PeerStatus {
+                    id: k.peer.id,
+                    name: k.peer.name.clone(),
+                    zone: k.peer.zone.clone(),
+                })
+                .collect(),
+            teams: gate.team_stats(),
+        }
+    }
+}
--- /dev/null
+++ b/src/core/control/root.rs
@@ -0,0 +1,360 @@
+//! Duties of the root leader: naming zone leaders, dividing team limits among
+//! zones, replacing lost voters.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Answer, Control, Effect, Origin};
+use crate::core::lease::TERM;
+use crate::core::registry::{Command, InstanceId, Member, Transfer};
+use crate::core::share::{Claim, targets};
+use crate::core::time::{Moment, with_clock_margin};
+use crate::error::{Error, Kind};
+use crate::event::Event;
+use crate::wire::{Body, LeaseReply, LeaseRequest, Voter};
+
+/// Origin of proposals that nobody waits for.
+pub const NOBODY: Origin = Origin::Local(u64::MAX);
+/// A zone's wants count for this long.
+const WANTS_AGE_MAX: Duration = Duration::from_secs(3);
+/// A spare may lag by this many entries when it becomes a voter.
+const CAUGHT_UP_LAG: u64 = 64;
+
+/// Demand of one team in one zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Want {
+    /// Team.
+    pub team: String,
+    /// Units that it could use now.
+    pub demand: u64,
+    /// Units returned in all.
+    pub returned: u64,
+}
+
+/// Demands of all teams in one zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneWants {
+    /// Zone.
+    pub zone: String,
+    /// Term of its leadership.
+    pub term: u64,
+    /// Teams.
+    pub wants: Vec<Want>,
+    /// Age of this report; grows at the root leader.
+    pub at: Moment,
+}
+
+impl Control {
+    pub(super) fn tick_root(&mut self, now: Moment) {
+        let term = self.replica.is_leader().then(|| self.replica.term());
+        if term != self.root_term {
+            self.change_root(now, term);
+        }
+        if term.is_some() && self.replica.is_leased(now) {
+            self.replace_voters(now);
+        }
+    }
+
+    fn change_root(&mut self, now: Moment, term: Option<u64>) {
+        let event = match (term, self.root_term) {
+            (Some(term), _) => Event::RootLed { term },
+            (None, Some(term)) => Event::RootLost { term },
+            (None, None) => return,
+        };
+        self.effects.push(Effect::Event(event));
+        self.root_term = term;
+        self.register.clear();
+        self.wants.clear();
+        if term.is_none() {
+            let proposals = std::mem::take(&mut self.proposals);
+            for (_, origin, _) in proposals.into_values() {
+                let err = Error::new(Kind::NoQuorum, "the root leader changed");
+                if let Some(origin) = origin {
+                    self.answer(now, origin, Answer::Failed(err));
+                }
+            }
+        }
+    }
+
+    // One change at a time: first a caught-up spare joins, then the lost voter goes.
+    fn replace_voters(&mut self, now: Moment) {
+        let voters = self.replica.voters().to_vec();
+        let wanted = self.me.founders.len().max(1);
+        let is_lost = |v: &Voter| {
+            self.replica
+                .progress()
+                .find(|(id, _)| *id == v.replica)
+                .is_some_and(|(_, p)| now.since(p.heard_at) > self.me.replace_after)
+        };
+        let lost = voters.iter().find(|v| is_lost(v)).cloned();
+        let Some(lost) = lost else {
+            return;
+        };
+        let next = if voters.len() > wanted {
+            voters.into_iter().filter(|v| *v != lost).collect()
+        } else {
+            let commit = self.replica.commit();
+            let spare = self
+                .replica
+                .progress()
+                .filter(|(id, p)| {
+                    let is_voter = voters.iter().any(|v| v.replica == *id);
+                    let is_recent = now.since(p.heard_at) < super::PEER_SILENCE_MAX;
+                    !is_voter && p.durable && is_recent && p.matched + CAUGHT_UP_LAG >= commit
+                })
+                .map(|(id, p)| (self.zone_of_replica(id), id, p.name.clone()))
+                .min_by_key(|(zone, id, _)| {
+                    let same_zone = voters
+                        .iter()
+                        .filter(|v| self.zone_of_replica(v.replica) == *zone)
+                        .count();
+                    (same_zone, *id)
+                });
+            let Some((_, replica, name)) = spare else {
+                return;
+            };
+            let mut next = voters;
+            next.push(Voter { replica, name });
+            next
+        };
+        // Refused while another change is under way; the next tick tries again.
+        let _ = self.replica.propose_voters(next);
+    }
+
+    fn zone_of_replica(&self, replica: u64) -> Option<String> {
+        if replica == self.me.replica {
+            return Some(self.me.zone.clone());
+        }
+        self.peers
+            .values()
+            .find(|k| k.peer.replica == replica)
+            .map(|k| k.peer.zone.clone())
+    }
+
+    pub(super) fn take_lease_request(
+        &mut self,
+        now: Moment,
+        from: InstanceId,
+        request: &LeaseRequest,
+    ) {
+        if !self.replica.is_leased(now) {
+            return;
+        }
+        if request.campaign {
+            self.take_campaign(now, from, request);
+            return;
+        }
+        let led = self.registry.zones.get(&request.zone).cloned();
+        let granted = self
+            .register
+            .renew(now, &request.zone, led.as_ref(), from, request.term);
+        let reply = LeaseReply {
+            zone: request.zone.clone(),
+            term: request.term,
+            sent_at: request.sent_at,
+            granted,
+        };
+        if from == self.me.id {
+            self.seat
+                .take_lease(reply.term, Moment(reply.sent_at), granted);
+        } else {
+            self.send(from, Body::LeaseReply(reply));
+        }
+        if granted && !request.roster.is_empty() {
+            let roster: Vec<Member> = request
+                .roster
+                .iter()
+                .filter_map(|&id| self.member(InstanceId(id)))
+                .collect();
+            self.propose_lead(now, &request.zone, request.term, from, roster);
+        }
+    }
+
+    fn take_campaign(&mut self, now: Moment, from: InstanceId, request: &LeaseRequest) {
+        let Some(candidate) = self.member(from) else {
+            return;
+        };
+        let since = self.replica.leader_since().unwrap_or(now);
+        let led = self.registry.zones.get(&request.zone);
+        let may_name =
+            self.register
+                .may_name(now, since, &request.zone, led, &candidate, request.term);
+        if !may_name {
+            return;
+        }
+        self.name_leader(now, &request.zone, request.term, &candidate);
+    }
+
+    fn name_leader(&mut self, now: Moment, zone: &str, term: u64, candidate: &Member) {
+        let mut roster: Vec<Member> = self.members_of(zone);
+        if !roster.iter().any(|m| m.id == candidate.id) {
+            roster.push(candidate.clone());
+        }
+        self.propose_lead(now, zone, term, candidate.id, roster);
+    }
+
+    fn propose_lead(
+        &mut self,
+        now: Moment,
+        zone: &str,
+        seen_term: u64,
+        leader: InstanceId,
+        roster: Vec<Member>,
+    ) {
+        self.register.begin_naming(zone);
+        let command = Command::Lead {
+            zone: zone.to_owned(),
+            seen_term,
+            leader,
+            roster,
+        };
+        self.propose(now, NOBODY, &command, Some(zone.to_owned()));
+    }
+
+    fn member(&self, id: InstanceId) -> Option<Member> {
+        if id == self.me.id {
+            return Some(Member {
+                id,
+                address: self.me.address.clone(),
+            });
+        }
+        self.peers.get(&id).map(|k| Member {
+            id,
+            address: k.peer.address.clone(),
+        })
+    }
+
+    fn members_of(&self, zone: &str) -> Vec<Member> {
+        let own = (self.me.zone == zone).then_some(self.me.id);
+        let peers = self
+            .peers
+            .values()
+            .filter(|k| k.peer.zone == zone)
+            .map(|k| k.peer.id);
+        own.into_iter()
+            .chain(peers)
+            .filter_map(|id| self.member(id))
+            .collect()
+    }
+
+    /// Names a new leader for a zone at an operator's word, whatever its roster.
+    pub(super) fn replace_zone(&mut self, now: Moment, origin: Origin, zone: &str) {
+        let Some(led) = self.registry.zones.get(zone).cloned() else {
+            let err = Error::new(Kind::NotFound, format!("no zone {zone}"));
+            self.answer(now, origin, Answer::Failed(err));
+            return;
+        };
+        let roster = self.members_of(zone);
+        let Some(first) = roster.first().cloned() else {
+            let message = format!("no instance of zone {zone} can be reached");
+            self.answer(
+                now,
+                origin,
+                Answer::Failed(Error::new(Kind::NoQuorum, message)),
+            );
+            return;
+        };
+        let since = self.replica.leader_since().unwrap_or(now);
+        if !self.replica.is_leased(now) || now < since + with_clock_margin(TERM) {
+            let err = Error::new(Kind::NoQuorum, "the root leader is new; try again");
+            self.answer(now, origin, Answer::Failed(err));
+            return;
+        }
+        self.register.begin_naming(zone);
+        let command = Command::Lead {
+            zone: zone.to_owned(),
+            seen_term: led.term,
+            leader: first.id,
+            roster,
+        };
+        self.propose(now, origin, &command, Some(zone.to_owned()));
+    }
+
+    /// Takes a zone's demand; gives units and answers with what to return.
+    pub(super) fn take_wants(&mut self, now: Moment, mut wants: ZoneWants) -> Answer {
+        if !self.replica.is_leased(now) {
+            return Answer::Failed(Error::new(Kind::NoQuorum, "not the root leader"));
+        }
+        wants.at = now;
+        let zone = wants.zone.clone();
+        let mut transfers = Vec::new();
+        let mut recalls = Vec::new();
+        for want in &wants.wants {
+            self.divide_limit(now, &wants, want, &mut transfers, &mut recalls);
+        }
+        self.wants.insert(zone, wants);
+        if !transfers.is_empty() {
+            self.propose(now, NOBODY, &Command::Transfer(transfers), None);
+        }
+        Answer::Recalls(recalls)
+    }
+
+    fn divide_limit(
+        &self,
+        now: Moment,
+        wants: &ZoneWants,
+        want: &Want,
+        transfers: &mut Vec<Transfer>,
+        recalls: &mut Vec<(String, u64)>,
+    ) {
+        let Some(issuer) = self.registry.limits.get(&want.team) else {
+            return;
+        };
+        let zones = &self.registry.zone_names;
+        let claims: Vec<Claim> = zones
+            .iter()
+            .map(|zone| Claim {
+                weight: 1,
+                demand: if *zone == wants.zone {
+                    want.demand
+                } else {
+                    self.demand_in(now, zone, &want.team)
+                },
+                standing: true,
+            })
+            .collect();
+        let Some(at) = self.registry.zone_index(&wants.zone) else {
+            return;
+        };
+        let goal = targets(issuer.capacity(), &claims)[usize::from(at.0)];
+        let account = issuer.account(at);
+        let has = account
+            .given
+            .saturating_sub(account.returned.max(want.returned));
+        let mut give = goal.saturating_sub(has).min(issuer.free());
+        // Small corrections are not worth an entry in the log.
+        let pressing = want.demand > has;
+        if !pressing && give * 8 < goal {
+            give = 0;
+        }
+        if give > 0 || want.returned > account.returned {
+            transfers.push(Transfer {
+                team: want.team.clone(),
+                zone: wants.zone.clone(),
+                term: wants.term,
+                give,
+                returned: want.returned,
+            });
+        }
+        let others_lack = zones.iter().zip(&claims).any(|(zone, claim)| {
+            let held = self
+                .registry
+                .zone_index(zone)
+                .map_or(0, |z| issuer.account(z).balance());
+            *zone != wants.zone && claim.demand > held
+        });
+        let is_new_zone = zones.len() > issuer.accounts().filter(|(_, a)| a.balance() > 0).count();
+        if has > goal && (others_lack || is_new_zone || issuer.excess() > 0) {
+            recalls.push((want.team.clone(), has - goal));
+        }
+    }
+
+    fn demand_in(&self, now: Moment, zone: &str, team: &str) -> u64 {
+        self.wants
+            .get(zone)
+            .filter(|w| now.since(w.at) < WANTS_AGE_MAX)
+            .and_then(|w| w.wants.iter().find(|want| want.team == team))
+            .map_or(0, |want| want.demand)
+    }
+}
--- /dev/null
+++ b/src/core/control/zone.rs
@@ -0,0 +1,296 @@
+//! Duties of the zone leader and of the members of its roster.
+
+use std::time::Duration;
+
+use super::root::{NOBODY, Want, ZoneWants};
+use super::{Answer, Control, Effect, Origin, Query, Target};
+use crate::core::claim;
+use crate::core::lease::Action;
+use crate::core::office::{Heartbeat, Office, UnitDemand};
+use crate::core::registry::InstanceId;
+use crate::core::time::Moment;
+use crate::error::{Error, Kind};
+use crate::event::Event;
+use crate::wire::{Allotment, Body, LeaseReply, LeaseRequest, Report};
+
+/// Interval of a zone's reports to the root leader.
+const WANTS_EVERY: Duration = Duration::from_millis(500);
+/// Interval of those reports while a team lacks units.
+const WANTS_PRESSING_EVERY: Duration = Duration::from_millis(100);
+/// Age of the root group's word up to which it counts as heard.
+const ROOT_HEARD_MAX: Duration = Duration::from_millis(2_000);
+
+impl Control {
+    pub(super) fn root_heard(&self, now: Moment) -> bool {
+        self.fresh.age(now).is_some_and(|age| age < ROOT_HEARD_MAX)
+    }
+
+    pub(super) fn tick_zone(&mut self, now: Moment) {
+        let peers: Vec<InstanceId> = self
+            .peers
+            .values()
+            .filter(|k| k.peer.zone == self.me.zone)
+            .map(|k| k.peer.id)
+            .collect();
+        let root_heard = self.root_heard(now);
+        for action in self.seat.tick(now, &peers, root_heard) {
+            self.act(now, action);
+        }
+        self.settle_authority(now);
+        if !self.seat.may_act(now) {
+            return;
+        }
+        let Some(office) = &mut self.office else {
+            return;
+        };
+        for (to, allotment) in office.tick(now) {
+            self.send_allotment(now, to, allotment);
+        }
+        self.report_wants(now);
+    }
+
+    fn act(&mut self, now: Moment, action: Action) {
+        let mut request = LeaseRequest {
+            zone: self.me.zone.clone(),
+            sent_at: now.0,
+            ..LeaseRequest::default()
+        };
+        match action {
+            Action::Renew { term, roster } => {
+                request.term = term;
+                request.roster = roster.iter().map(|id| id.0).collect();
+                self.ask_root_lease(now, request);
+            }
+            Action::Campaign { term } => {
+                if self.leaving {
+                    return;
+                }
+                request.term = term;
+                request.campaign = true;
+                self.ask_root_lease(now, request);
+            }
+            Action::Ask {
+                member,
+                term,
+                has_authority,
+            } => {
+                request.term = term;
+                request.has_authority = has_authority;
+                self.send(member, Body::PromiseRequest(request));
+            }
+        }
+    }
+
+    fn ask_root_lease(&mut self, now: Moment, request: LeaseRequest) {
+        match self.root_leader() {
+            Some(id) if id == self.me.id => self.take_lease_request(now, id, &request),
+            Some(id) => self.send(id, Body::LeaseRequest(request)),
+            None => {}
+        }
+    }
+
+    pub(super) fn take_promise_request(
+        &mut self,
+        now: Moment,
+        from: InstanceId,
+        request: &LeaseRequest,
+    ) {
+        if request.zone != self.me.zone {
+            return;
+        }
+        let root_heard = self.root_heard(now);
+        let granted = self
+            .seat
+            .promise(now, from, request.term, request.has_authority, root_heard);
+        let reply = LeaseReply {
+            zone: request.zone.clone(),
+            term: request.term,
+            sent_at: request.sent_at,
+            granted,
+        };
+        self.send(from, Body::PromiseReply(reply));
+    }
+
+    pub(super) fn observe_leadership(&mut self, now: Moment) {
+        let led = self.registry.zones.get(&self.me.zone).cloned();
+        let before = self.seat.led().cloned();
+        self.seat.observe(now, led.as_ref());
+        let Some(led) = led else {
+            return;
+        };
+        if before.as_ref().is_some_and(|old| old.term == led.term) {
+            self.sync_units();
+            return;
+        }
+        let stays = before.as_ref().is_some_and(|old| old.leader == led.leader);
+        if led.leader == self.me.id && !stays {
+            let first = led.term == 1;
+            let run_limit = self.longest_run();
+            let office = Office::new(self.me.zone.clone(), led.term, first, now, run_limit);
+            self.office = Some(office);
+            self.recover_claims(now, before.as_ref());
+        } else if led.leader != self.me.id {
+            self.office = None;
+        } else if let Some(office) = &mut self.office {
+            office.set_term(led.term);
+        }
+        self.sync_units();
+    }
+
+    fn longest_run(&self) -> Duration {
+        let services = self.registry.config.services.values();
+        services
+            .map(|s| s.run_limit)
+            .max()
+            .unwrap_or(crate::config::Service::default().run_limit)
+    }
+
+    fn sync_units(&mut self) {
+        let run_limit = self.longest_run();
+        let zone = self.registry.zone_index(&self.me.zone);
+        let (Some(office), Some(zone)) = (&mut self.office, zone) else {
+            return;
+        };
+        office.set_run_limit(run_limit);
+        for (team, issuer) in &self.registry.limits {
+            let share = self.registry.config.teams.get(team).map_or(1, |t| t.share);
+            let account = issuer.account(zone);
+            office.set_units(team, share, account.given, account.returned);
+        }
+    }
+
+    fn settle_authority(&mut self, now: Moment) {
+        let may_act = self.seat.may_act(now);
+        if may_act == self.acting {
+            return;
+        }
+        self.acting = may_act;
+        let zone = self.me.zone.clone();
+        let term = self.seat.term();
+        let event = if may_act {
+            Event::ZoneLed { zone, term }
+        } else {
+            Event::ZoneLost { zone, term }
+        };
+        self.effects.push(Effect::Event(event));
+    }
+
+    fn report_wants(&mut self, now: Moment) {
+        if now < self.wants_at {
+            return;
+        }
+        let Some(office) = &mut self.office else {
+            return;
+        };
+        office.return_owed(now);
+        let demands = office.unit_demands(&std::collections::BTreeMap::new());
+        let is_pressing = |d: &UnitDemand| d.demand > d.capacity;
+        let every = if demands.iter().any(is_pressing) {
+            WANTS_PRESSING_EVERY
+        } else {
+            WANTS_EVERY
+        };
+        self.wants_at = now + every;
+        let wants = ZoneWants {
+            zone: self.me.zone.clone(),
+            term: office.term(),
+            wants: demands
+                .into_iter()
+                .map(|d| Want {
+                    team: d.team,
+                    demand: d.demand,
+                    returned: d.returned,
+                })
+                .collect(),
+            at: now,
+        };
+        let origin = Origin::Local(super::claims::WANTS_CALL);
+        self.route(now, origin, &Target::Root, Query::Wants(wants));
+    }
+
+    pub(super) fn take_recalls(&mut self, now: Moment, recalls: &[(String, u64)]) {
+        if !self.seat.may_act(now) {
+            return;
+        }
+        let Some(office) = &mut self.office else {
+            return;
+        };
+        for (team, units) in recalls {
+            office.recall(now, team, *units);
+        }
+        self.wants_at = now;
+    }
+
+    pub(super) fn announce(&mut self, now: Moment, beat: &Heartbeat) -> Answer {
+        if !self.seat.may_act(now) {
+            let message = "this instance does not lead its zone now";
+            return Answer::Failed(Error::new(Kind::NoQuorum, message));
+        }
+        let Some(office) = &mut self.office else {
+            return Answer::Failed(Error::from(Kind::NoQuorum));
+        };
+        match office.announce(now, beat) {
+            Ok(events) => {
+                self.effects.extend(events.into_iter().map(Effect::Event));
+                Answer::Done
+            }
+            Err(err) => Answer::Failed(err),
+        }
+    }
+
+    pub(super) fn confirm_applied(&self, now: Moment, at: u64) -> Answer {
+        if self.seat.may_act(now) && self.registry.applied >= at {
+            Answer::Done
+        } else {
+            Answer::Failed(Error::from(Kind::NoQuorum))
+        }
+    }
+
+    pub(super) fn take_report(&mut self, now: Moment, from: InstanceId, report: &Report) {
+        if report.zone != self.me.zone || !self.seat.may_act(now) {
+            return;
+        }
+        let Some(office) = &mut self.office else {
+            return;
+        };
+        let allotment = office.report(now, from, report);
+        self.send_allotment(now, from, allotment);
+    }
+
+    fn send_allotment(&mut self, now: Moment, to: InstanceId, mut allotment: Allotment) {
+        allotment.applied = self.registry.applied;
+        if to == self.me.id {
+            self.take_allotment(now, to, &allotment);
+        } else {
+            self.send(to, Body::Allotment(allotment));
+        }
+    }
+
+    pub(super) fn take_allotment(&mut self, now: Moment, from: InstanceId, allotment: &Allotment) {
+        if self.zone_leader(&allotment.zone) != Some(from) {
+            return;
+        }
+        let mut gate = self.gate.lock().expect("gate lock");
+        self.agent.take(&mut gate, now, allotment);
+        drop(gate);
+        self.effects.push(Effect::Publish);
+    }
+
+    pub(super) fn take_internal(&mut self, now: Moment, call: u64, answer: &Answer) {
+        if Origin::Local(call) == NOBODY {
+            return;
+        }
+        if call == super::claims::WANTS_CALL {
+            if let Answer::Recalls(recalls) = answer {
+                let recalls = recalls.clone();
+                self.take_recalls(now, &recalls);
+            }
+            return;
+        }
+        self.take_claims_answer(now, call, answer);
+    }
+
+    pub(super) fn claims_of(&mut self, zone: &str) -> &mut claim::Table {
+        self.claims.entry(zone.to_owned()).or_default()
+    }
+}
--- /dev/null
+++ b/src/core/gate/mod.rs
@@ -0,0 +1,808 @@
+//! Admission at one entry instance: which request runs next, and where.
+//!
+//! The gate holds what zone leaders have allotted to this entry instance, slots
+//! of upstreams and units of team limits, and decides every request out of that
+//! without asking anyone.
+
+mod queue;
+mod upstream;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+pub use queue::Queue;
+pub use upstream::{Announcement, Index, Upstream, cell_of};
+
+use crate::core::escrow::{Account, Cell, Holding};
+use crate::core::time::Moment;
+use crate::error::Kind;
+
+/// Requests that one team may have waiting for one service.
+pub const DEFAULT_QUEUE_LIMIT: usize = 1_000;
+/// Shortest advice to a refused caller on when to come back.
+const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
+
+/// Addresses a team in the gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TeamKey(pub u32);
+
+/// Addresses a service in the gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ServiceKey(pub u32);
+
+/// Addresses an upstream in the gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct UpstreamKey(pub u32);
+
+/// Addresses a zone leader that allots capacity.
+#[derive(
+    Default, Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct SourceKey(pub u16);
+
+/// Names a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Ticket(pub u64);
+
+impl Ticket {
+    /// Sorts after every ticket in use.
+    pub const MAX: Self = Self(u64::MAX);
+}
+
+/// What the gate needs to know of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Team whose key came with it.
+    pub team: TeamKey,
+    /// Service it is for.
+    pub service: ServiceKey,
+    /// Worth to the caller if answered in time; any unit, compared within a team.
+    pub worth: u64,
+    /// When the answer stops being of use.
+    pub deadline: Moment,
+}
+
+/// A slot and a unit of team limit in use for one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Assignment {
+    /// Upstream to send to.
+    pub upstream: UpstreamKey,
+    /// Team that the request counts for.
+    pub team: TeamKey,
+    /// Service of the request.
+    pub service: ServiceKey,
+    /// When the slot was taken.
+    pub at: Moment,
+}
+
+/// Why and with what advice a request was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Kind of the refusal.
+    pub kind: Kind,
+    /// When the caller should come back.
+    pub retry_after: Duration,
+}
+
+/// Requests of one team for one service at one entry instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Demand {
+    /// Service.
+    pub service: ServiceKey,
+    /// Team.
+    pub team: TeamKey,
+    /// Requests waiting.
+    pub waiting: u64,
+    /// Requests running.
+    pub running: u64,
+}
+
+/// Answer to a submitted request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Runs now.
+    Start(Assignment),
+    /// Waits. The ticket in `displaced`, if any, has lost its place.
+    Wait {
+        /// Names the waiting request.
+        ticket: Ticket,
+        /// Request of less worth that was removed from the full queue.
+        displaced: Option<Ticket>,
+    },
+    /// Not taken.
+    Refuse(Refusal),
+}
+
+/// How an exchange with an upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exchange {
+    /// A whole answer came.
+    Answered,
+    /// It failed or timed out.
+    Failed,
+    /// It was never sent.
+    Unsent,
+}
+
+/// A team's units of limit at this entry instance.
+#[derive(Debug)]
+struct Team {
+    name: String,
+    cell: Cell,
+    share: u32,
+    holding: Holding,
+    completed: u64,
+    slot_time: Duration,
+}
+
+/// A service and its waiting requests.
+#[derive(Debug)]
+struct Service {
+    name: String,
+    queue: Queue,
+    index: Index,
+    allowed: u64,
+    queue_limit: usize,
+    running: BTreeMap<TeamKey, u64>,
+}
+
+/// Admission state of one entry instance.
+#[derive(Debug, Default)]
+pub struct Gate {
+    teams: Vec<Team>,
+    team_names: HashMap<String, TeamKey>,
+    services: Vec<Service>,
+    service_names: HashMap<String, ServiceKey>,
+    upstreams: BTreeMap<UpstreamKey, Upstream>,
+    cells: HashMap<Cell, UpstreamKey>,
+    retired: HashMap<Cell, (SourceKey, Account)>,
+    next_upstream: u32,
+    expiries: Vec<Moment>,
+    team_source: SourceKey,
+    next_ticket: u64,
+    draining: bool,
+}
+
+impl Gate {
+    /// Makes an empty gate.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the key of a team, adding it if it is new, and sets its share.
+    pub fn put_team(&mut self, name: &str, share: u32) -> TeamKey {
+        if let Some(&key) = self.team_names.get(name) {
+            self.teams[key.0 as usize].share = share;
+            return key;
+        }
+        let key = TeamKey(u32::try_from(self.teams.len()).expect("fewer than 2^32 teams"));
+        self.teams.push(Team {
+            name: name.to_owned(),
+            cell: crate::util::cell_named(name),
+            share,
+            holding: Holding::default(),
+            completed: 0,
+            slot_time: Duration::ZERO,
+        });
+        self.team_names.insert(name.to_owned(), key);
+        key
+    }
+
+    /// Returns the key of a service, adding it if it is new, and sets its queue limit.
+    pub fn put_service(&mut self, name: &str, queue_limit: usize) -> ServiceKey {
+        if let Some(&key) = self.service_names.get(name) {
+            self.services[key.0 as usize].queue_limit = queue_limit;
+            return key;
+        }
+        let count = u32::try_from(self.services.len()).expect("fewer than 2^32 services");
+        let key = ServiceKey(count);
+        self.services.push(Service {
+            name: name.to_owned(),
+            queue: Queue::default(),
+            index: Index::default(),
+            allowed: 0,
+            queue_limit,
+            running: BTreeMap::new(),
+        });
+        self.service_names.insert(name.to_owned(), key);
+        key
+    }
+
+    /// Returns the key of a known team.
+    pub fn team(&self, name: &str) -> Option<TeamKey> {
+        self.team_names.get(name).copied()
+    }
+
+    /// Returns the key of a known service.
+    pub fn service(&self, name: &str) -> Option<ServiceKey> {
+        self.service_names.get(name).copied()
+    }
+
+    /// Returns the upstream under `key`.
+    pub fn upstream(&self, key: UpstreamKey) -> Option<&Upstream> {
+        self.upstreams.get(&key)
+    }
+
+    /// Returns all upstreams.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.values()
+    }
+
+    /// Stops taking new requests; what waits goes on.
+    pub const fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Returns whether nothing waits and nothing runs.
+    pub fn is_idle(&self) -> bool {
+        self.services.iter().all(|s| s.queue.is_empty())
+            && self.upstreams.values().all(|u| u.holding.in_use() == 0)
+    }
+
+    /// Sets until when what `source` has allotted may be used.
+    pub fn renew(&mut self, source: SourceKey, until: Moment) {
+        let at = usize::from(source.0);
+        if self.expiries.len() <= at {
+            self.expiries.resize(at + 1, Moment::ZERO);
+        }
+        if until <= self.expiries[at] {
+            return;
+        }
+        self.expiries[at] = until;
+        for key in self.keys_of(source) {
+            self.refresh(key);
+        }
+    }
+
+    /// Returns until when what `source` has allotted may be used.
+    pub fn expiry(&self, source: SourceKey) -> Moment {
+        self.expiries
+            .get(usize::from(source.0))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Sets which source the team units come from.
+    pub const fn set_team_source(&mut self, source: SourceKey) {
+        self.team_source = source;
+    }
+
+    /// Adds an upstream or takes its new announcement.
+    pub fn put_upstream(
+        &mut self,
+        announcement: Announcement,
+        source: SourceKey,
+        remote: bool,
+    ) -> UpstreamKey {
+        let service = self.put_service(&announcement.service, DEFAULT_QUEUE_LIMIT);
+        let cell = cell_of(&announcement);
+        if let Some(&key) = self.cells.get(&cell) {
+            let upstream = self.upstreams.get_mut(&key).expect("cell of an upstream");
+            upstream.announcement = announcement;
+            return key;
+        }
+        let key = UpstreamKey(self.next_upstream);
+        self.next_upstream += 1;
+        let mut upstream = Upstream::new(announcement, service, source, remote);
+        if let Some((_, account)) = self.retired.remove(&cell) {
+            upstream.holding = Holding::resumed(account);
+        }
+        self.cells.insert(cell, key);
+        self.upstreams.insert(key, upstream);
+        key
+    }
+
+    /// Marks an upstream as leaving or as staying.
+    pub fn set_leaving(&mut self, cell: Cell, leaving: bool) {
+        if let Some(&key) = self.cells.get(&cell) {
+            if let Some(upstream) = self.upstreams.get_mut(&key) {
+                upstream.leaving = leaving;
+            }
+            self.refresh(key);
+        }
+    }
+
+    /// Forgets upstreams that take nothing new and of which nothing is held.
+    ///
+    /// Their counters are kept for the epoch, since the issuer goes on from them if
+    /// the same incarnation comes back.
+    pub fn sweep(&mut self) {
+        let idle: Vec<UpstreamKey> = self
+            .upstreams
+            .iter()
+            .filter(|(_, u)| u.leaving && u.holding.allowed() == 0 && u.holding.in_use() == 0)
+            .map(|(&key, _)| key)
+            .collect();
+        for key in idle {
+            let mut upstream = self.upstreams.remove(&key).expect("known key");
+            let service = &mut self.services[upstream.service.0 as usize];
+            service.index.drop_entry(&mut upstream);
+            self.cells.remove(&upstream.cell());
+            self.retired.insert(
+                upstream.cell(),
+                (upstream.source, upstream.holding.account()),
+            );
+        }
+    }
+
+    /// Records how many slots of an upstream have been given in all.
+    pub fn receive_slots(&mut self, cell: Cell, given: u64) {
+        let Some(&key) = self.cells.get(&cell) else {
+            return;
+        };
+        self.change_holding(key, |holding| holding.receive(given));
+    }
+
+    /// Records the given counters of team units.
+    pub fn receive_unit_balances(&mut self, balances: &[crate::wire::Balance]) {
+        let by_cell: HashMap<u64, u64> = balances.iter().map(|b| (b.cell, b.given)).collect();
+        if by_cell.is_empty() {
+            return;
+        }
+        for team in &mut self.teams {
+            if let Some(&given) = by_cell.get(&team.cell.0) {
+                team.holding.receive(given);
+            }
+        }
+    }
+
+    /// Closes all slot accounts of `source` and opens them anew; yields the opening
+    /// balances. Idle slots are kept only while the allotment has not expired.
+    pub fn reopen_slots(&mut self, now: Moment, source: SourceKey) -> Vec<(Cell, u64)> {
+        let keep = now < self.expiry(source);
+        self.retired.retain(|_, (of, _)| *of != source);
+        let mut opening = Vec::new();
+        for key in self.keys_of(source) {
+            self.change_holding(key, |h| *h = reopened(*h, keep));
+            let upstream = &self.upstreams[&key];
+            if upstream.holding.allowed() > 0 {
+                opening.push((upstream.cell(), upstream.holding.allowed()));
+            }
+        }
+        opening
+    }
+
+    /// Does for team units what [`Gate::reopen_slots`] does for slots.
+    pub fn reopen_units(&mut self, now: Moment) -> Vec<(Cell, u64)> {
+        let keep = now < self.expiry(self.team_source);
+        let mut opening = Vec::new();
+        for team in &mut self.teams {
+            team.holding = reopened(team.holding, keep);
+            if team.holding.allowed() > 0 {
+                opening.push((team.cell, team.holding.allowed()));
+            }
+        }
+        opening
+    }
+
+    fn keys_of(&self, source: SourceKey) -> Vec<UpstreamKey> {
+        self.upstreams
+            .iter()
+            .filter(|(_, u)| u.source == source)
+            .map(|(&key, _)| key)
+            .collect()
+    }
+
+    /// Returns up to `units` idle slots of a service to `source`.
+    pub fn return_slots(&mut self, source: SourceKey, service: &str, units: u64) {
+        let Some(service) = self.service(service) else {
+            return;
+        };
+        let mut left = units;
+        let keys: Vec<UpstreamKey> = self
+            .upstreams
+            .iter()
+            .filter(|(_, u)| u.source == source && u.service == service && u.holding.idle() > 0)
+            .map(|(&key, _)| key)
+            .collect();
+        for key in keys {
+            if left == 0 {
+                break;
+            }
+            self.change_holding(key, |h| left -= h.give_back(left));
+        }
+    }
+
+    /// Returns all idle slots of `source`; false once it has lent nothing more.
+    pub fn return_source(&mut self, source: SourceKey) -> bool {
+        let mut unsettled = false;
+        for key in self.keys_of(source) {
+            let before = self.upstreams[&key].holding.allowed();
+            self.change_holding(key, |h| {
+                h.give_back(u64::MAX);
+            });
+            unsettled |= before > 0;
+        }
+        unsettled
+    }
+
+    /// Returns all idle slots of one upstream.
+    pub fn return_upstream(&mut self, cell: Cell) {
+        if let Some(&key) = self.cells.get(&cell) {
+            self.change_holding(key, |h| {
+                h.give_back(u64::MAX);
+            });
+        }
+    }
+
+    /// Returns up to `units` idle units of a team's limit.
+    pub fn return_units(&mut self, team: TeamKey, units: u64) {
+        self.teams[team.0 as usize].holding.give_back(units);
+    }
+
+    /// Returns everything idle, before a planned stop.
+    pub fn return_all(&mut self) {
+        let keys: Vec<UpstreamKey> = self.upstreams.keys().copied().collect();
+        for key in keys {
+            self.change_holding(key, |h| {
+                h.give_back(u64::MAX);
+            });
+        }
+        for team in &mut self.teams {
+            team.holding.give_back(u64::MAX);
+        }
+    }
+
+    /// Returns the slot accounts of `source`.
+    pub fn slot_accounts(&self, source: SourceKey) -> Vec<(Cell, Account)> {
+        self.upstreams
+            .values()
+            .filter(|u| u.source == source)
+            .map(|u| (u.cell(), u.holding.account()))
+            .collect()
+    }
+
+    /// Returns the team unit accounts.
+    pub fn unit_accounts(&self) -> Vec<(Cell, Account)> {
+        self.teams
+            .iter()
+            .map(|t| (t.cell, t.holding.account()))
+            .collect()
+    }
+
+    /// Returns requests waiting and running by service and team, where not zero.
+    pub fn demands(&self) -> Vec<Demand> {
+        let mut demands = Vec::new();
+        for (i, service) in (0u32..).zip(&self.services) {
+            let waiting: BTreeMap<TeamKey, usize> = service.queue.demands().collect();
+            let teams: BTreeSet<TeamKey> = waiting
+                .keys()
+                .chain(service.running.keys())
+                .copied()
+                .collect();
+            for team in teams {
+                demands.push(Demand {
+                    service: ServiceKey(i),
+                    team,
+                    waiting: waiting.get(&team).copied().unwrap_or(0) as u64,
+                    running: service.running.get(&team).copied().unwrap_or(0),
+                });
+            }
+        }
+        demands
+    }
+
+    /// Returns the name of a service.
+    pub fn service_name(&self, key: ServiceKey) -> &str {
+        &self.services[key.0 as usize].name
+    }
+
+    /// Returns the name of a team.
+    pub fn team_name(&self, key: TeamKey) -> &str {
+        &self.teams[key.0 as usize].name
+    }
+
+    /// Returns whether something waits that this instance lacks slots or units for.
+    pub fn is_starved(&self) -> bool {
+        self.services.iter().any(|s| !s.queue.is_empty())
+    }
+
+    /// Returns the names of all services in the order of their keys.
+    pub fn service_names(&self) -> impl Iterator<Item = (ServiceKey, &str)> {
+        (0u32..)
+            .zip(&self.services)
+            .map(|(i, s)| (ServiceKey(i), s.name.as_str()))
+    }
+
+    /// Returns for each team its name, share, completed requests, slot time used,
+    /// units in use and requests waiting.
+    pub fn team_stats(&self) -> Vec<TeamStat> {
+        (0u32..)
+            .zip(&self.teams)
+            .map(|(i, t)| TeamStat {
+                team: t.name.clone(),
+                share: t.share,
+                completed: t.completed,
+                slot_time: t.slot_time,
+                running: t.holding.in_use(),
+                allowed: t.holding.allowed(),
+                waiting: self
+                    .services
+                    .iter()
+                    .map(|s| s.queue.len_of(TeamKey(i)) as u64)
+                    .sum(),
+            })
+            .collect()
+    }
+
+    /// Takes a request, lets it wait, or refuses it.
+    pub fn submit(&mut self, now: Moment, request: Request) -> Admission {
+        if self.draining {
+            return refuse(Kind::Draining, Duration::ZERO);
+        }
+        if now >= request.deadline {
+            return refuse(Kind::DeadlineUnmeetable, Duration::ZERO);
+        }
+        let service = &mut self.services[request.service.0 as usize];
+        service.queue.open_line(request.team);
+        if service.queue.is_empty()
+            && let Some(assignment) = self.assign(now, request.service, request.team, None)
+        {
+            return Admission::Start(assignment);
+        }
+        if let Some(wait) = self.unmeetable_wait(now, &request) {
+            return refuse(Kind::DeadlineUnmeetable, wait);
+        }
+        self.enqueue(now, request)
+    }
+
+    /// Removes a waiting request whose caller has gone.
+    pub fn cancel(&mut self, service: ServiceKey, ticket: Ticket) -> bool {
+        let service = &mut self.services[service.0 as usize];
+        service.queue.remove(ticket).is_some()
+    }
+
+    /// Starts waiting requests for which there is capacity.
+    pub fn pump(&mut self, now: Moment) -> Vec<(Ticket, Assignment)> {
+        let mut started = Vec::new();
+        for i in 0..self.services.len() {
+            let key = ServiceKey(u32::try_from(i).expect("fewer than 2^32 services"));
+            while let Some(next) = self.start_next(now, key) {
+                started.push(next);
+            }
+        }
+        started
+    }
+
+    /// Starts the next waiting request of one service if there is capacity.
+    pub fn start_next(&mut self, now: Moment, key: ServiceKey) -> Option<(Ticket, Assignment)> {
+        if now >= self.expiry(self.team_source) {
+            return None;
+        }
+        let teams = &self.teams;
+        let service = &self.services[key.0 as usize];
+        let (ticket, request) = service
+            .queue
+            .peek(|team| teams[team.0 as usize].holding.idle() > 0)?;
+        let assignment = self.assign(now, key, request.team, None)?;
+        self.services[key.0 as usize].queue.remove(ticket);
+        Some((ticket, assignment))
+    }
+
+    /// Removes waiting requests that can no longer meet their deadlines.
+    pub fn expire(&mut self, now: Moment) -> Vec<Ticket> {
+        self.services
+            .iter_mut()
+            .flat_map(|s| s.queue.expire(now))
+            .collect()
+    }
+
+    /// Assigns a retry to an upstream other than `avoid`, if there is capacity.
+    pub fn retry(
+        &mut self,
+        now: Moment,
+        service: ServiceKey,
+        team: TeamKey,
+        avoid: UpstreamKey,
+    ) -> Option<Assignment> {
+        self.assign(now, service, team, Some(avoid))
+    }
+
+    /// Ends an assignment and frees what it used.
+    pub fn finish(&mut self, now: Moment, done: Assignment, exchange: Exchange) {
+        let took = now.since(done.at);
+        let team = &mut self.teams[done.team.0 as usize];
+        team.holding.put();
+        let share = team.share;
+        if exchange != Exchange::Unsent {
+            team.slot_time += took;
+        }
+        if exchange == Exchange::Answered {
+            team.completed += 1;
+        }
+        self.settle_upstream(now, done.upstream, exchange);
+        let service = &mut self.services[done.service.0 as usize];
+        if let Some(running) = service.running.get_mut(&done.team) {
+            *running = running.saturating_sub(1);
+        }
+        service.running.retain(|_, running| *running > 0);
+        let queue = &mut service.queue;
+        match exchange {
+            Exchange::Answered => {
+                let expected = queue.estimate(now);
+                queue.charge(done.team, took.saturating_sub(expected), share);
+                queue.sample(now, took);
+            }
+            Exchange::Failed => queue.charge(done.team, took, share),
+            Exchange::Unsent => {}
+        }
+    }
+
+    fn settle_upstream(&mut self, now: Moment, key: UpstreamKey, exchange: Exchange) {
+        let Some(upstream) = self.upstreams.get_mut(&key) else {
+            return;
+        };
+        upstream.holding.put();
+        match exchange {
+            Exchange::Answered => upstream.record_success(),
+            Exchange::Failed => upstream.record_failure(now),
+            Exchange::Unsent => {}
+        }
+        self.refresh(key);
+    }
+
+    /// Avoids an upstream for a while, ahead of the end of its exchange.
+    pub fn suspect(&mut self, now: Moment, key: UpstreamKey) {
+        if let Some(upstream) = self.upstreams.get_mut(&key) {
+            upstream.record_failure(now);
+        }
+    }
+
+    fn assign(
+        &mut self,
+        now: Moment,
+        service: ServiceKey,
+        team: TeamKey,
+        avoid: Option<UpstreamKey>,
+    ) -> Option<Assignment> {
+        if now >= self.expiry(self.team_source) || self.teams[team.0 as usize].holding.idle() == 0 {
+            return None;
+        }
+        let upstream = self.choose(now, service, avoid)?;
+        let share = self.teams[team.0 as usize].share;
+        self.teams[team.0 as usize].holding.take();
+        self.change_holding(upstream, |h| {
+            h.take();
+        });
+        let service_state = &mut self.services[service.0 as usize];
+        let expected = service_state.queue.estimate(now);
+        service_state.queue.charge(team, expected, share);
+        *service_state.running.entry(team).or_default() += 1;
+        Some(Assignment {
+            upstream,
+            team,
+            service,
+            at: now,
+        })
+    }
+
+    fn choose(
+        &mut self,
+        now: Moment,
+        service: ServiceKey,
+        avoid: Option<UpstreamKey>,
+    ) -> Option<UpstreamKey> {
+        let mut dark = Vec::new();
+        let mut fallback = None;
+        let mut chosen = None;
+        for key in self.services[service.0 as usize].index.candidates() {
+            let upstream = &self.upstreams[&key];
+            if now >= self.expiry(upstream.source) {
+                dark.push(key);
+                continue;
+            }
+            if Some(key) == avoid {
+                continue;
+            }
+            if upstream.is_suspended(now) {
+                fallback = fallback.or(Some(key));
+                continue;
+            }
+            chosen = Some(key);
+            break;
+        }
+        // Expired entries come back into the index with the next renewal.
+        for key in dark {
+            let upstream = self.upstreams.get_mut(&key).expect("indexed upstream");
+            self.services[service.0 as usize].index.drop_entry(upstream);
+        }
+        chosen.or(fallback)
+    }
+
+    fn unmeetable_wait(&self, now: Moment, request: &Request) -> Option<Duration> {
+        let service = &self.services[request.service.0 as usize];
+        let estimate = service.queue.estimate(now);
+        if service.allowed == 0 || estimate.is_zero() {
+            return None;
+        }
+        let team_share = u64::from(self.teams[request.team.0 as usize].share);
+        let shares: u64 = service
+            .queue
+            .demands()
+            .filter(|&(team, _)| team != request.team)
+            .map(|(team, _)| u64::from(self.teams[team.0 as usize].share))
+            .sum::<u64>()
+            + team_share;
+        let slots = service.allowed as f64 * team_share as f64 / shares.max(1) as f64;
+        let rounds = service.queue.ahead_of(request) as f64 / slots.max(0.1);
+        let wait = estimate.mul_f64(rounds);
+        (now + wait + estimate > request.deadline).then_some(wait)
+    }
+
+    fn enqueue(&mut self, now: Moment, request: Request) -> Admission {
+        let service = &mut self.services[request.service.0 as usize];
+        let mut displaced = None;
+        if service.queue.len_of(request.team) >= service.queue_limit {
+            displaced = service.queue.displace(&request);
+            if displaced.is_none() {
+                let wait = service.queue.estimate(now) * 2;
+                return refuse(Kind::Overloaded, wait);
+            }
+        }
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        service.queue.push(ticket, request);
+        Admission::Wait { ticket, displaced }
+    }
+
+    fn change_holding(&mut self, key: UpstreamKey, change: impl FnOnce(&mut Holding)) {
+        let upstream = self.upstreams.get_mut(&key).expect("known upstream");
+        let service = &mut self.services[upstream.service.0 as usize];
+        service.allowed -= upstream.holding.allowed();
+        change(&mut upstream.holding);
+        service.allowed += upstream.holding.allowed();
+        service.index.refresh(key, upstream);
+    }
+
+    fn refresh(&mut self, key: UpstreamKey) {
+        if let Some(upstream) = self.upstreams.get_mut(&key) {
+            let service = &mut self.services[upstream.service.0 as usize];
+            service.index.refresh(key, upstream);
+        }
+    }
+}
+
+/// Figures of one team at one entry instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TeamStat {
+    /// Name of the team.
+    pub team: String,
+    /// Its configured share.
+    pub share: u32,
+    /// Requests answered whole.
+    pub completed: u64,
+    /// Slot time used.
+    pub slot_time: Duration,
+    /// Requests running.
+    pub running: u64,
+    /// Units of its limit allotted here.
+    pub allowed: u64,
+    /// Requests waiting.
+    pub waiting: u64,
+}
+
+const fn reopened(holding: Holding, keep_idle: bool) -> Holding {
+    let units = if keep_idle {
+        holding.allowed()
+    } else {
+        holding.in_use()
+    };
+    Holding::opened_with(units, holding.in_use())
+}
+
+const fn refuse(kind: Kind, wait: Duration) -> Admission {
+    let retry_after = if wait.as_millis() > RETRY_AFTER_MIN.as_millis() {
+        wait
+    } else {
+        RETRY_AFTER_MIN
+    };
+    Admission::Refuse(Refusal { kind, retry_after })
+}
--- /dev/null
+++ b/src/core/job.rs
@@ -0,0 +1,366 @@
+//! Jobs and their tasks as the root group registers them.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::core::registry::Outcome;
+use crate::error::{Error, Kind};
+
+/// Ended jobs that stay readable.
+const ENDED_MAX: usize = 5_000;
+/// Most tasks in one job.
+pub const TASKS_MAX: u32 = 20_000;
+
+/// Names a job.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+#[display("{_0}")]
+pub struct Id(pub u64);
+
+/// Names a task of a job.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(deny_unknown_fields)]
+#[display("{job}/{index}")]
+pub struct Task {
+    /// Job that it belongs to.
+    pub job: Id,
+    /// Position in the job, from 0.
+    pub index: u32,
+}
+
+/// Amounts of what a worker offers and a task needs.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(deny_unknown_fields)]
+pub struct Size {
+    /// Thousandths of a processor.
+    pub cpu_milli: u64,
+    /// Memory in megabytes.
+    pub memory_mb: u64,
+    /// Accelerators.
+    #[serde(default)]
+    pub accelerators: u64,
+}
+
+impl Size {
+    /// Returns whether `need` fits into this size.
+    pub const fn fits(self, need: Self) -> bool {
+        need.cpu_milli <= self.cpu_milli
+            && need.memory_mb <= self.memory_mb
+            && need.accelerators <= self.accelerators
+    }
+
+    /// Returns the sum of both sizes.
+    pub const fn plus(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli + other.cpu_milli,
+            memory_mb: self.memory_mb + other.memory_mb,
+            accelerators: self.accelerators + other.accelerators,
+        }
+    }
+
+    /// Returns what is left after `other` is taken away, at least zero.
+    pub const fn minus(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// Returns the larger amount of each dimension.
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// Returns the largest fraction that this size takes of `total`.
+    pub fn dominant_of(self, total: Self) -> f64 {
+        let part = |need: u64, all: u64| {
+            if all == 0 {
+                0.0
+            } else {
+                need as f64 / all as f64
+            }
+        };
+        part(self.cpu_milli, total.cpu_milli)
+            .max(part(self.memory_mb, total.memory_mb))
+            .max(part(self.accelerators, total.accelerators))
+    }
+}
+
+/// What kind of work a job is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Class {
+    /// Runs until cancelled.
+    Service,
+    /// Tasks run and end independently.
+    Batch,
+    /// All tasks start together or none does.
+    AllAtOnce,
+}
+
+/// What happens to a task whose worker cannot be reached.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Unreachable {
+    /// It is placed anew once its lease has surely run out.
+    #[default]
+    Replace,
+    /// It waits for its worker.
+    Keep,
+}
+
+/// What a caller asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Spec {
+    /// Name for people; sizes are corrected by team and name.
+    pub name: String,
+    /// Kind of work.
+    pub class: Class,
+    /// Number of tasks.
+    pub tasks: u32,
+    /// Declared size of one task.
+    pub size: Size,
+    /// Queue; its settings decide the placement policy.
+    #[serde(default)]
+    pub queue: String,
+    /// Estimated run time of one task, in milliseconds.
+    #[serde(default)]
+    pub run_ms: u64,
+    /// Whether it may checkpoint lower work.
+    #[serde(default)]
+    pub urgent: bool,
+    /// Deadline after submission, in milliseconds; zero for none.
+    #[serde(default)]
+    pub deadline_ms: u64,
+    /// Worth if it ends by its deadline.
+    #[serde(default)]
+    pub worth: u64,
+    /// Whether a task may run again after a failure.
+    #[serde(default = "yes")]
+    pub rerun: bool,
+    /// What happens to unreachable tasks.
+    #[serde(default)]
+    pub unreachable: Unreachable,
+}
+
+const fn yes() -> bool {
+    true
+}
+
+/// Where a job stands.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// Its tasks wait or run.
+    #[display("open")]
+    Open,
+    /// All its tasks ended well.
+    #[display("done")]
+    Done,
+    /// It was cancelled.
+    #[display("cancelled")]
+    Cancelled,
+    /// It failed, for the given reason.
+    #[display("failed: {_0}")]
+    Failed(String),
+}
+
+/// A registered job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Job {
+    /// Identity; assigned when it is registered.
+    pub id: Id,
+    /// Team whose key came with it.
+    pub team: String,
+    /// Caller's idempotency key, or empty.
+    pub request: String,
+    /// What was asked for.
+    pub spec: Spec,
+    /// Zone that places it.
+    pub zone: String,
+    /// Where it stands.
+    pub state: State,
+    /// Bitmap of tasks that ended well.
+    pub ended: Vec<u64>,
+    /// Failed runs of its tasks that count against it.
+    pub failures: u32,
+}
+
+impl Job {
+    /// Returns whether the task at `index` ended well.
+    pub fn has_ended(&self, index: u32) -> bool {
+        let word = self.ended.get(index as usize / 64).copied().unwrap_or(0);
+        word >> (index % 64) & 1 == 1
+    }
+
+    /// Returns how many tasks ended well.
+    pub fn ended_count(&self) -> u32 {
+        self.ended.iter().map(|word| word.count_ones()).sum()
+    }
+
+    /// Returns the indices of tasks that have not ended.
+    pub fn open_tasks(&self) -> impl Iterator<Item = Task> {
+        let job = self.id;
+        (0..self.spec.tasks)
+            .filter(|&index| !self.has_ended(index))
+            .map(move |index| Task { job, index })
+    }
+
+    fn mark_ended(&mut self, index: u32) {
+        let word = index as usize / 64;
+        if self.ended.len() <= word {
+            self.ended.resize(word + 1, 0);
+        }
+        self.ended[word] |= 1 << (index % 64);
+    }
+}
+
+/// How a task ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Ended {
+    /// Task.
+    pub task: Task,
+    /// Whether it ended well; otherwise its job fails if it may not run again.
+    pub ok: bool,
+    /// Reason that fails the whole job, if any.
+    pub fatal: Option<String>,
+}
+
+/// All registered jobs.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Table {
+    next: u64,
+    jobs: BTreeMap<Id, Job>,
+    requests: BTreeMap<(String, String), Id>,
+    ended: VecDeque<Id>,
+}
+
+impl Table {
+    /// Returns a job.
+    pub fn get(&self, id: Id) -> Option<&Job> {
+        self.jobs.get(&id)
+    }
+
+    /// Returns all jobs in the order of submission.
+    pub fn iter(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+
+    /// Returns the jobs whose tasks wait or run.
+    pub fn open(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values().filter(|job| job.state == State::Open)
+    }
+
+    /// Registers a job, or finds the earlier submission of the same request.
+    pub fn submit(&mut self, job: &Job) -> Outcome {
+        let request = (job.team.clone(), job.request.clone());
+        if !job.request.is_empty()
+            && let Some(&id) = self.requests.get(&request)
+        {
+            if self.jobs.get(&id).is_some_and(|old| old.spec != job.spec) {
+                let message = "this id was used for another job";
+                return Outcome::Refused(Error::new(Kind::IdReused, message));
+            }
+            return Outcome::Submitted(id);
+        }
+        self.next += 1;
+        let id = Id(self.next);
+        let job = Job {
+            id,
+            state: State::Open,
+            ended: Vec::new(),
+            failures: 0,
+            ..job.clone()
+        };
+        if !job.request.is_empty() {
+            self.requests.insert(request, id);
+        }
+        self.jobs.insert(id, job);
+        Outcome::Submitted(id)
+    }
+
+    /// Cancels a job of `team`, or of any team for an operator.
+    pub fn cancel(&mut self, id: Id, team: Option<&str>) -> Outcome {
+        let job = self.jobs.get_mut(&id);
+        let Some(job) = job.filter(|job| team.is_none_or(|team| team == job.team)) else {
+            return Outcome::Refused(Error::new(Kind::NotFound, format!("no job {id}")));
+        };
+        if job.state == State::Open {
+            job.state = State::Cancelled;
+            self.retire(id);
+        }
+        Outcome::Done
+    }
+
+    /// Records ended tasks; unknown and repeated ones change nothing.
+    pub fn end(&mut self, ended: &[Ended]) {
+        for end in ended {
+            let id = end.task.job;
+            let Some(job) = self.jobs.get_mut(&id).filter(|j| j.state == State::Open) else {
+                continue;
+            };
+            if end.task.index >= job.spec.tasks {
+                continue;
+            }
+            if end.ok {
+                job.mark_ended(end.task.index);
+                if job.ended_count() == job.spec.tasks {
+                    job.state = State::Done;
+                }
+            } else {
+                job.failures += 1;
+                if let Some(reason) = &end.fatal {
+                    job.state = State::Failed(reason.clone());
+                }
+            }
+            if job.state != State::Open {
+                self.retire(id);
+            }
+        }
+    }
+
+    /// Moves an open job to another zone.
+    pub fn assign(&mut self, id: Id, zone: &str) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            zone.clone_into(&mut job.zone);
+        }
+    }
+
+    fn retire(&mut self, id: Id) {
+        self.ended.push_back(id);
+        while self.ended.len() > ENDED_MAX {
+            let oldest = self.ended.pop_front().expect("not empty");
+            if let Some(job) = self.jobs.remove(&oldest)
+                && !job.request.is_empty()
+            {
+                self.requests.remove(&(job.team, job.request));
+            }
+        }
+    }
+}
+
+/// Returns the estimated run time of a task, or `None` if it runs until cancelled.
+pub fn run_time(spec: &Spec) -> Option<Duration> {
+    match spec.class {
+        Class::Service => None,
+        Class::Batch | Class::AllAtOnce => Some(Duration::from_millis(spec.run_ms.max(1))),
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,19 @@
+//! Decisions without input or output.
+//!
+//! Nothing here reads a clock, a socket or a file. The present time and any
+//! randomness are arguments, and effects are returned as typed values.
+
+pub mod agent;
+pub mod claim;
+pub mod consensus;
+pub mod control;
+pub mod escrow;
+pub mod freshness;
+pub mod gate;
+pub mod job;
+pub mod lease;
+pub mod office;
+pub mod registry;
+pub mod retry;
+pub mod share;
+pub mod time;
--- /dev/null
+++ b/src/core/office/mod.rs
@@ -0,0 +1,618 @@
+//! Duties of a zone leader: which entry instance may use how many slots of each
+//! upstream and how many units of each team's limit.
+
+mod division;
+mod host;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub use host::{Heartbeat, Host};
+
+use crate::core::escrow::{Cell, Issuer};
+use crate::core::gate::{Announcement, cell_of};
+use crate::core::registry::InstanceId;
+use crate::core::time::{Moment, with_clock_margin};
+use crate::error::{Error, Kind, Result};
+use crate::event::Event;
+use crate::util::cell_named;
+use crate::wire;
+
+/// Term of an allotment on the holder's clock.
+pub const ALLOTMENT_TERM: Duration = Duration::from_millis(1_000);
+/// Interval between divisions of the capacity.
+const DIVIDE_EVERY: Duration = Duration::from_millis(50);
+/// An upstream that was silent for this long gets nothing new.
+pub const SILENT_AFTER: Duration = Duration::from_millis(2_500);
+/// A silent upstream is forgotten after this long, once nothing can run on it.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// Holder that stands for the zone's own task placement.
+pub const FLEET: InstanceId = InstanceId(0);
+
+/// Units of one team's limit in this zone.
+#[derive(Debug)]
+struct Units {
+    issuer: Issuer<InstanceId>,
+    share: u32,
+    returned: u64,
+    owed: u64,
+}
+
+/// What the zone leader knows of one entry instance.
+#[derive(Debug)]
+struct Holder {
+    epoch: u64,
+    open: bool,
+    local: bool,
+    leaving: bool,
+    heard: Moment,
+    number: u64,
+    report: u64,
+    demands: Vec<wire::Demand>,
+    dirty_slots: BTreeMap<Cell, u64>,
+    dirty_units: BTreeMap<String, u64>,
+    dirty_hosts: BTreeMap<Cell, u64>,
+    recall_slots: BTreeMap<String, u64>,
+    recall_units: BTreeMap<String, u64>,
+    urgent: bool,
+    sent_at: u64,
+}
+
+/// An account of a holder that is gone, until its work has surely ended.
+#[derive(Clone, Copy, Debug)]
+struct Linger {
+    expired_at: Moment,
+    until: Moment,
+}
+
+/// State of a zone leader for one term of leadership.
+#[derive(Debug)]
+pub struct Office {
+    zone: String,
+    term: u64,
+    taken_at: Moment,
+    first: bool,
+    run_limit: Duration,
+    hosts: BTreeMap<Cell, Host>,
+    names: BTreeMap<String, Cell>,
+    retired: BTreeMap<Cell, Issuer<InstanceId>>,
+    units: BTreeMap<String, Units>,
+    unit_names: BTreeMap<Cell, String>,
+    holders: BTreeMap<InstanceId, Holder>,
+    lingering: BTreeMap<InstanceId, Linger>,
+    sessions: u64,
+    divide_at: Moment,
+}
+
+impl Office {
+    /// Takes office at `now`. In the first term of a zone there is no predecessor
+    /// whose allotments could still be in use.
+    pub const fn new(
+        zone: String,
+        term: u64,
+        first: bool,
+        now: Moment,
+        run_limit: Duration,
+    ) -> Self {
+        Self {
+            zone,
+            term,
+            taken_at: now,
+            first,
+            run_limit,
+            hosts: BTreeMap::new(),
+            names: BTreeMap::new(),
+            retired: BTreeMap::new(),
+            units: BTreeMap::new(),
+            unit_names: BTreeMap::new(),
+            holders: BTreeMap::new(),
+            lingering: BTreeMap::new(),
+            sessions: 0,
+            divide_at: now,
+        }
+    }
+
+    /// Returns the term.
+    pub const fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Takes the term of a new roster under the same leader; accounts stay open.
+    pub const fn set_term(&mut self, term: u64) {
+        self.term = term;
+    }
+
+    /// Sets the longest time that work goes on after its holder was lost.
+    pub const fn set_run_limit(&mut self, run_limit: Duration) {
+        self.run_limit = run_limit;
+    }
+
+    /// Returns the upstreams.
+    pub fn hosts(&self) -> impl Iterator<Item = &Host> {
+        self.hosts.values()
+    }
+
+    /// Sets a team's share, and the units of its limit that the zone holds as the
+    /// registry's account shows them.
+    pub fn set_units(&mut self, team: &str, share: u32, given: u64, returned: u64) {
+        let units = self.units.entry(team.to_owned()).or_insert_with(|| Units {
+            issuer: Issuer::new(0),
+            share,
+            returned,
+            owed: 0,
+        });
+        units.share = share;
+        units.returned = units.returned.max(returned);
+        units
+            .issuer
+            .set_capacity(given.saturating_sub(units.returned));
+        self.unit_names.insert(cell_named(team), team.to_owned());
+    }
+
+    // Units that unknown holders may still use must not be given to anyone.
+    fn units_clear(&self, now: Moment) -> bool {
+        self.first || now >= self.safe_at() + with_clock_margin(self.run_limit)
+    }
+
+    /// Returns for each team its name, the units that it could use here now and
+    /// the returned counter.
+    pub fn unit_demands(&self, fleet: &BTreeMap<String, u64>) -> Vec<UnitDemand> {
+        let mut requests: BTreeMap<&str, u64> = BTreeMap::new();
+        for demand in self.holders.values().flat_map(|h| &h.demands) {
+            *requests.entry(&demand.team).or_default() += demand.waiting + demand.running;
+        }
+        self.units
+            .iter()
+            .map(|(team, units)| UnitDemand {
+                team: team.clone(),
+                demand: requests.get(team.as_str()).copied().unwrap_or(0)
+                    + fleet.get(team).copied().unwrap_or(0),
+                capacity: units.issuer.capacity(),
+                returned: units.returned,
+            })
+            .collect()
+    }
+
+    /// Takes up to `units` of a team's limit for tasks.
+    pub fn take_units(&mut self, now: Moment, team: &str, units: u64) -> u64 {
+        if !self.units_clear(now) {
+            return 0;
+        }
+        self.units
+            .get_mut(team)
+            .map_or(0, |u| u.issuer.give(FLEET, units))
+    }
+
+    /// Returns units of a team's limit that tasks no longer use.
+    pub fn put_units(&mut self, team: &str, units: u64) {
+        if let Some(u) = self.units.get_mut(team) {
+            let account = u.issuer.account(FLEET);
+            u.issuer.settle(FLEET, account.returned + units);
+        }
+    }
+
+    /// Records units used by tasks that were found running.
+    pub fn adopt_units(&mut self, team: &str, units: u64) {
+        if let Some(u) = self.units.get_mut(team) {
+            let held = u.issuer.account(FLEET).balance();
+            u.issuer.adopt(FLEET, held + units);
+        }
+    }
+
+    /// Takes an upstream's heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Kind::BadAnnouncement`] if it is not credible.
+    pub fn announce(&mut self, now: Moment, beat: &Heartbeat) -> Result<Option<Event>> {
+        host::check(&beat.announcement)?;
+        if beat.announcement.zone != self.zone {
+            let message = format!("this is zone {}", self.zone);
+            return Err(Error::new(Kind::BadAnnouncement, message));
+        }
+        let cell = cell_of(&beat.announcement);
+        let name = beat.announcement.name.clone();
+        if let Some(old) = self.names.get(&name).copied()
+            && old != cell
+        {
+            self.supersede(now, old, &beat.announcement)?;
+        }
+        self.names.insert(name, cell);
+        let limit = beat.announcement.slots.min(beat.announcement.connections);
+        let retired = &mut self.retired;
+        let is_new = !self.hosts.contains_key(&cell);
+        let host = self.hosts.entry(cell).or_insert_with(|| {
+            let issuer = retired.remove(&cell);
+            let issuer = issuer.unwrap_or_else(|| Issuer::new(u64::from(limit)));
+            Host::new(beat.announcement.clone(), issuer, now)
+        });
+        if host.announcement().address != beat.announcement.address {
+            let message = "another address uses this name and incarnation";
+            return Err(Error::new(Kind::BadAnnouncement, message));
+        }
+        let changed = host.take(now, beat);
+        if changed {
+            self.mark_host(cell);
+        }
+        let upstream = beat.announcement.name.clone();
+        let event = match (is_new, changed && beat.leaving) {
+            (true, _) => Some(Event::UpstreamUp { upstream }),
+            (_, true) => Some(Event::UpstreamLeaving { upstream }),
+            _ => None,
+        };
+        self.settle_lingering(now, cell, beat.running.as_ref());
+        Ok(event)
+    }
+
+    /// Sets how many units of a team the zone should return to the pool of the root
+    /// group. Holders are asked for what is not free.
+    pub fn recall(&mut self, now: Moment, team: &str, units: u64) {
+        if let Some(state) = self.units.get_mut(team) {
+            state.owed = units.min(state.issuer.capacity());
+        }
+        self.return_owed(now);
+    }
+
+    /// Returns free units that the pool has recalled.
+    pub fn return_owed(&mut self, now: Moment) {
+        if !self.units_clear(now) {
+            return;
+        }
+        for units in self.units.values_mut() {
+            let free = units.issuer.free().min(units.owed);
+            units.owed -= free;
+            units.returned += free;
+            units.issuer.set_capacity(units.issuer.capacity() - free);
+        }
+    }
+
+    fn supersede(&mut self, now: Moment, old: Cell, new: &Announcement) -> Result<()> {
+        let Some(host) = self.hosts.get_mut(&old) else {
+            return Ok(());
+        };
+        let known = host.announcement();
+        if new.incarnation < known.incarnation {
+            let message = format!("incarnation {} is known", known.incarnation);
+            return Err(Error::new(Kind::BadAnnouncement, message));
+        }
+        let alive = !host.is_leaving() && now.since(host.heard()) < SILENT_AFTER;
+        if alive && new.address != known.address {
+            let message = format!("{} announces from {}", known.name, known.address);
+            return Err(Error::new(Kind::BadAnnouncement, message));
+        }
+        host.leave();
+        self.mark_host(old);
+        Ok(())
+    }
+
+    /// Takes an entry instance's report and returns the allotment that answers it.
+    pub fn report(
+        &mut self,
+        now: Moment,
+        from: InstanceId,
+        report: &wire::Report,
+    ) -> wire::Allotment {
+        let local = report.from_zone == self.zone;
+        if !self.holders.contains_key(&from) {
+            let holder = self.new_holder(now, local);
+            self.holders.insert(from, holder);
+        }
+        let epoch = self.holders[&from].epoch;
+        let open = self.holders[&from].open;
+        if report.epoch != epoch || (report.opening == open) {
+            if report.epoch == epoch && open {
+                // A repeated opening: the first one counted.
+                return self.allot(now, from, report);
+            }
+            return self.ask_to_reopen(now, from, report);
+        }
+        if report.opening {
+            self.open_accounts(now, from, report);
+        }
+        self.settle(now, from, report);
+        self.divide(now, false);
+        self.allot(now, from, report)
+    }
+
+    fn new_holder(&mut self, now: Moment, local: bool) -> Holder {
+        self.sessions += 1;
+        Holder {
+            epoch: (self.term << 32) | self.sessions,
+            open: false,
+            local,
+            leaving: false,
+            heard: now,
+            number: 0,
+            report: 0,
+            demands: Vec::new(),
+            dirty_slots: BTreeMap::new(),
+            dirty_units: BTreeMap::new(),
+            dirty_hosts: BTreeMap::new(),
+            recall_slots: BTreeMap::new(),
+            recall_units: BTreeMap::new(),
+            urgent: false,
+            sent_at: 0,
+        }
+    }
+
+    fn ask_to_reopen(
+        &mut self,
+        now: Moment,
+        from: InstanceId,
+        report: &wire::Report,
+    ) -> wire::Allotment {
+        let holder = self.holders.get_mut(&from).expect("known holder");
+        holder.heard = now;
+        wire::Allotment {
+            zone: self.zone.clone(),
+            epoch: holder.epoch,
+            sent_at: report.sent_at,
+            reopen: true,
+            upstreams: self.hosts.values().map(Host::info).collect(),
+            ..wire::Allotment::default()
+        }
+    }
+
+    fn open_accounts(&mut self, now: Moment, from: InstanceId, report: &wire::Report) {
+        for balance in &report.slots {
+            if let Some(host) = self.hosts.get_mut(&Cell(balance.cell)) {
+                host.issuer_mut().adopt(from, balance.given);
+            }
+        }
+        for balance in &report.units {
+            if let Some(name) = self.unit_names.get(&Cell(balance.cell)) {
+                let units = self.units.get_mut(name).expect("named units");
+                units.issuer.adopt(from, balance.given);
+            }
+        }
+        let holder = self.holders.get_mut(&from).expect("known holder");
+        holder.open = true;
+        holder.heard = now;
+        holder.report = 0;
+        let next = holder.number + 1;
+        holder.dirty_hosts = self.hosts.keys().map(|&cell| (cell, next)).collect();
+    }
+
+    fn settle(&mut self, now: Moment, from: InstanceId, report: &wire::Report) {
+        for balance in &report.slots {
+            if let Some(host) = self.hosts.get_mut(&Cell(balance.cell)) {
+                host.issuer_mut().settle(from, balance.returned);
+            }
+        }
+        for balance in &report.units {
+            if let Some(name) = self.unit_names.get(&Cell(balance.cell)) {
+                let units = self.units.get_mut(name).expect("named units");
+                units.issuer.settle(from, balance.returned);
+            }
+        }
+        let holder = self.holders.get_mut(&from).expect("known holder");
+        holder.heard = now;
+        holder.leaving = report.leaving;
+        if report.number > holder.report {
+            holder.report = report.number;
+            holder.demands.clone_from(&report.demands);
+        }
+        let received = report.received;
+        holder.dirty_slots.retain(|_, first| *first > received);
+        holder.dirty_units.retain(|_, first| *first > received);
+        holder.dirty_hosts.retain(|_, first| *first > received);
+    }
+
+    /// Builds the allotment for `to` that answers `report`.
+    fn allot(&mut self, now: Moment, to: InstanceId, report: &wire::Report) -> wire::Allotment {
+        let holder = self.holders.get_mut(&to).expect("known holder");
+        holder.sent_at = holder.sent_at.max(report.sent_at);
+        holder.heard = now;
+        self.build_allotment(to, report.number)
+    }
+
+    fn build_allotment(&mut self, to: InstanceId, answers: u64) -> wire::Allotment {
+        let holder = self.holders.get_mut(&to).expect("known holder");
+        holder.number += 1;
+        holder.urgent = false;
+        let recall = |(name, units): (String, u64)| wire::Recall { name, units };
+        let hosts = &self.hosts;
+        let units = &self.units;
+        wire::Allotment {
+            zone: self.zone.clone(),
+            epoch: holder.epoch,
+            sent_at: holder.sent_at,
+            number: holder.number,
+            answers,
+            upstreams: holder
+                .dirty_hosts
+                .keys()
+                .filter_map(|cell| hosts.get(cell))
+                .map(Host::info)
+                .collect(),
+            slots: holder
+                .dirty_slots
+                .keys()
+                .filter_map(|&cell| {
+                    let account = hosts.get(&cell)?.issuer().account(to);
+                    Some(balance(cell, account.given, account.returned))
+                })
+                .collect(),
+            units: holder
+                .dirty_units
+                .keys()
+                .filter_map(|name| {
+                    let account = units.get(name)?.issuer.account(to);
+                    Some(balance(cell_named(name), account.given, account.returned))
+                })
+                .collect(),
+            recall_slots: std::mem::take(&mut holder.recall_slots)
+                .into_iter()
+                .map(recall)
+                .collect(),
+            recall_units: std::mem::take(&mut holder.recall_units)
+                .into_iter()
+                .map(recall)
+                .collect(),
+            reopen: false,
+            applied: 0,
+        }
+    }
+
+    /// Lets time pass; yields allotments that should not wait for the next report.
+    pub fn tick(&mut self, now: Moment) -> Vec<(InstanceId, wire::Allotment)> {
+        self.expire_holders(now);
+        self.expire_hosts(now);
+        self.divide(now, true);
+        let urgent: Vec<InstanceId> = self
+            .holders
+            .iter()
+            .filter(|(_, h)| h.open && h.urgent)
+            .map(|(&id, _)| id)
+            .collect();
+        urgent
+            .into_iter()
+            .map(|id| (id, self.build_allotment(id, 0)))
+            .collect()
+    }
+
+    /// Returns whether capacity of predecessors has surely expired.
+    pub fn may_give(&self, now: Moment) -> bool {
+        self.first || now >= self.safe_at()
+    }
+
+    fn safe_at(&self) -> Moment {
+        self.taken_at + with_clock_margin(ALLOTMENT_TERM)
+    }
+
+    fn expire_holders(&mut self, now: Moment) {
+        let term = with_clock_margin(ALLOTMENT_TERM);
+        let expired: Vec<InstanceId> = self
+            .holders
+            .iter()
+            .filter(|(_, h)| now >= h.heard + term)
+            .map(|(&id, _)| id)
+            .collect();
+        for id in expired {
+            self.holders.remove(&id);
+            let linger = Linger {
+                expired_at: now,
+                until: now + with_clock_margin(self.run_limit),
+            };
+            self.lingering.entry(id).or_insert(linger);
+        }
+        let ended: Vec<InstanceId> = self
+            .lingering
+            .iter()
+            .filter(|(_, l)| now >= l.until)
+            .map(|(&id, _)| id)
+            .collect();
+        for id in ended {
+            self.lingering.remove(&id);
+            if self.holders.get(&id).is_some_and(|h| h.open) {
+                continue;
+            }
+            for host in self.hosts.values_mut() {
+                host.issuer_mut().forget(id);
+            }
+            for units in self.units.values_mut() {
+                units.issuer.forget(id);
+            }
+        }
+    }
+
+    fn expire_hosts(&mut self, now: Moment) {
+        let safe_at = self.safe_at();
+        let run_limit = with_clock_margin(self.run_limit);
+        let mut changed = Vec::new();
+        let mut gone = Vec::new();
+        for (&cell, host) in &mut self.hosts {
+            if self.first || now >= safe_at + run_limit {
+                host.clear();
+            }
+            if !host.is_leaving() && now.since(host.heard()) >= SILENT_AFTER {
+                host.leave();
+                changed.push(cell);
+            }
+            let forgotten = now.since(host.heard()) >= FORGET_AFTER;
+            if forgotten && host.is_leaving() && host.issuer().outstanding() == 0 {
+                gone.push(cell);
+            }
+        }
+        for cell in changed {
+            self.mark_host(cell);
+        }
+        for cell in gone {
+            if let Some(host) = self.hosts.remove(&cell) {
+                let name = &host.announcement().name;
+                self.retired.insert(cell, host.issuer().clone());
+                if self.names.get(name) == Some(&cell) {
+                    self.names.remove(name);
+                }
+            }
+        }
+    }
+
+    // An upstream's own count of running requests tells what a lost holder left
+    // on it, once that holder can send nothing more.
+    fn settle_lingering(
+        &mut self,
+        now: Moment,
+        cell: Cell,
+        running: Option<&BTreeMap<InstanceId, u32>>,
+    ) {
+        let Some(running) = running else {
+            return;
+        };
+        let settled = self.first || now >= self.safe_at();
+        let host = self.hosts.get_mut(&cell).expect("announced upstream");
+        for (&id, linger) in &self.lingering {
+            if now <= linger.expired_at || self.holders.get(&id).is_some_and(|h| h.open) {
+                continue;
+            }
+            match running.get(&id) {
+                Some(&count) => host.issuer_mut().adopt(id, u64::from(count)),
+                None => host.issuer_mut().forget(id),
+            }
+        }
+        if host.is_clear() || !settled {
+            return;
+        }
+        // Requests of holders that have not reported since the change of leader.
+        for (&id, &count) in running {
+            let known = self.holders.get(&id).is_some_and(|h| h.open);
+            if !known && count > 0 {
+                host.issuer_mut().adopt(id, u64::from(count));
+                let linger = Linger {
+                    expired_at: now,
+                    until: now + with_clock_margin(self.run_limit),
+                };
+                self.lingering.entry(id).or_insert(linger);
+            }
+        }
+        host.clear();
+    }
+
+    fn mark_host(&mut self, cell: Cell) {
+        for holder in self.holders.values_mut() {
+            holder.dirty_hosts.insert(cell, holder.number + 1);
+            holder.urgent = true;
+        }
+    }
+}
+
+/// Units of one team that a zone could use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnitDemand {
+    /// Team.
+    pub team: String,
+    /// Units that it could use now.
+    pub demand: u64,
+    /// Units that the zone holds.
+    pub capacity: u64,
+    /// Units returned in all.
+    pub returned: u64,
+}
+
+const fn balance(cell: Cell, given: u64, returned: u64) -> wire::Balance {
+    wire::Balance {
+        cell: cell.0,
+        given,
+        returned,
+    }
+}
--- /dev/null
+++ b/src/core/share.rs
@@ -0,0 +1,112 @@
+//! Weighted max-min division of a capacity.
+
+/// One claimant of a divided capacity.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Claimant {
+    /// Relative weight, above zero.
+    pub weight: f64,
+    /// The most that the claimant can use.
+    pub demand: f64,
+}
+
+/// Divides `capacity` by weighted max-min: no claimant gets more than its
+/// demand, and what it leaves goes to the others by weight.
+///
+/// Source: water filling over claimants ordered by demand for each unit of weight
+/// (Bertsekas and Gallager, Data Networks, section 6.5).
+pub fn divide(capacity: f64, claimants: &[Claimant]) -> Vec<f64> {
+    let mut order: Vec<usize> = (0..claimants.len()).collect();
+    order.sort_by(|&a, &b| {
+        let fill = |i: usize| claimants[i].demand / claimants[i].weight;
+        fill(a).total_cmp(&fill(b)).then(a.cmp(&b))
+    });
+    let mut weight_left: f64 = claimants.iter().map(|c| c.weight).sum();
+    let mut left = capacity;
+    let mut given = vec![0.0; claimants.len()];
+    for i in order {
+        let claimant = claimants[i];
+        let fair = left * claimant.weight / weight_left;
+        given[i] = claimant.demand.min(fair).max(0.0);
+        left -= given[i];
+        weight_left -= claimant.weight;
+    }
+    given
+}
+
+/// Returns how far each claimant is below what [`divide`] gives it, as a
+/// fraction from 0 to 1. Claimants without demand count as satisfied.
+pub fn shortfalls(capacity: f64, claimants: &[Claimant], got: &[f64]) -> Vec<f64> {
+    divide(capacity, claimants)
+        .into_iter()
+        .zip(got)
+        .map(|(due, &got)| {
+            if due <= 0.0 {
+                return 0.0;
+            }
+            ((due - got) / due).max(0.0)
+        })
+        .collect()
+}
+
+/// One claimant of whole units.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Claim {
+    /// Relative weight of its demand, above zero.
+    pub weight: u64,
+    /// Units that it could use now.
+    pub demand: u64,
+    /// Whether it also gets a part of what nobody demands.
+    pub standing: bool,
+}
+
+/// Divides `capacity` whole units: demands by weighted max-min, then the surplus
+/// evenly among claims with a standing part.
+pub fn targets(capacity: u64, claims: &[Claim]) -> Vec<u64> {
+    let claimants: Vec<Claimant> = claims
+        .iter()
+        .map(|claim| Claimant {
+            weight: claim.weight.max(1) as f64,
+            demand: claim.demand as f64,
+        })
+        .collect();
+    let mut units = round_down(capacity, &divide(capacity as f64, &claimants));
+    let standing = claims.iter().filter(|claim| claim.standing).count() as u64;
+    let surplus = capacity.saturating_sub(units.iter().sum());
+    if standing == 0 {
+        return units;
+    }
+    let (each, mut odd) = (surplus / standing, surplus % standing);
+    for (unit, claim) in units.iter_mut().zip(claims) {
+        if claim.standing {
+            *unit += each + u64::from(odd > 0);
+            odd = odd.saturating_sub(1);
+        }
+    }
+    units
+}
+
+/// Rounds shares to whole units by largest remainder, without exceeding either the
+/// capacity or the next whole unit of any share.
+pub fn round_down(capacity: u64, shares: &[f64]) -> Vec<u64> {
+    const EPSILON: f64 = 1e-6;
+    let mut units: Vec<u64> = shares
+        .iter()
+        .map(|s| (s + EPSILON).floor() as u64)
+        .collect();
+    let total: f64 = shares.iter().sum();
+    let whole = ((total + EPSILON).floor() as u64).min(capacity);
+    let mut left = whole.saturating_sub(units.iter().sum());
+    let mut order: Vec<usize> = (0..shares.len()).collect();
+    order.sort_by(|&a, &b| {
+        let rest = |i: usize| shares[i] - units[i] as f64;
+        rest(b).total_cmp(&rest(a)).then(a.cmp(&b))
+    });
+    for i in order {
+        if left == 0 {
+            break;
+        }
+        units[i] += 1;
+        left -= 1;
+    }
+    units
+}
--- /dev/null
+++ b/src/http/callers.rs
@@ -0,0 +1,193 @@
+//! Handlers for callers.
+
+use axum::body::Body;
+use axum::extract::{Path, Request, State};
+use axum::http::{HeaderMap, HeaderValue, StatusCode, Uri};
+use axum::response::{IntoResponse, Response};
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use serde::Serialize;
+use std::time::Duration;
+use tokio::time::timeout;
+
+use super::App;
+use super::headers::{bearer, wish};
+use super::proxy::{Incoming, Whole, is_hop_header};
+use super::reply::{REQUEST_ID, Refused, json};
+use crate::clock::wall_millis;
+use crate::config::Config;
+use crate::error::{Error, Kind, Result};
+
+/// Longest time for a request's body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A minted request id.
+#[derive(Debug, Serialize)]
+struct Minted {
+    id: String,
+}
+
+/// Takes a request for a service's root.
+pub async fn request_root(
+    State(app): State<App>,
+    Path(service): Path<String>,
+    request: Request,
+) -> Response {
+    take(&app, &service, "/", request).await
+}
+
+/// Takes a request for a path of a service.
+pub async fn request(
+    State(app): State<App>,
+    Path((service, path)): Path<(String, String)>,
+    request: Request,
+) -> Response {
+    take(&app, &service, &format!("/{path}"), request).await
+}
+
+/// Mints a request id that the caller may use as its `Idempotency-Key`.
+pub async fn mint(State(app): State<App>) -> Response {
+    let id = app.node.traffic.mint();
+    json(StatusCode::OK, &Minted { id })
+}
+
+/// Answers requests for pages that do not exist.
+pub async fn unknown() -> Response {
+    Refused::from(Error::new(Kind::NotFound, "no such page")).into_response()
+}
+
+async fn take(app: &App, service: &str, path: &str, request: Request) -> Response {
+    let minted = app.node.traffic.mint();
+    match accept(app, service, path, request, &minted).await {
+        Ok(incoming) => {
+            let id = incoming.id.clone();
+            match app.proxy.run(incoming).await {
+                Ok(answer) => whole(answer, &id),
+                Err(refused) => refused.into_response(),
+            }
+        }
+        Err(refused) => refused.into_response(),
+    }
+}
+
+async fn accept(
+    app: &App,
+    service: &str,
+    path: &str,
+    request: Request,
+    minted: &str,
+) -> Result<Incoming, Refused> {
+    let traffic = &app.node.traffic;
+    let refuse = |error: Error| Refused::new(error, minted);
+    let taken = traffic.clock.now();
+    let view = traffic.view.load_full();
+    let (head, body) = request.into_parts();
+    let settings = view.config.services.get(service).cloned().ok_or_else(|| {
+        refuse(Error::new(
+            Kind::UnknownService,
+            format!("no service {service}"),
+        ))
+    })?;
+    let secret = bearer(&head.headers).map_err(refuse)?;
+    let team = match (secret, &settings.open) {
+        (Some(secret), _) => traffic.authenticate(&view, secret).map_err(refuse)?,
+        (None, Some(open)) => open.clone(),
+        (None, None) => return Err(refuse(Error::new(Kind::Unauthenticated, "no key"))),
+    };
+    let wish = wish(&head.method, &head.headers, &settings).map_err(refuse)?;
+    let deadline = taken + wish.deadline;
+    let id = wish.id.clone().unwrap_or_else(|| minted.to_owned());
+    let body = read_body(body, settings.body_limit)
+        .await
+        .map_err(|error| Refused::new(error, &id))?;
+    let origin = wish
+        .id
+        .as_deref()
+        .and_then(|id| minted_origin(&view.config, &view.zones, id));
+    Ok(Incoming {
+        claimed: wish.id.is_some(),
+        minted_age: origin.as_ref().map(|(_, age)| *age),
+        home: origin.map(|(zone, _)| zone),
+        id,
+        team,
+        service: service.to_owned(),
+        settings,
+        method: head.method,
+        path: target_path(path, &head.uri),
+        headers: end_to_end(&head.headers),
+        body,
+        taken,
+        deadline,
+        worth: wish.worth,
+        idempotent: wish.idempotent,
+    })
+}
+
+async fn read_body(body: Body, limit: u64) -> Result<Bytes> {
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    let collected = timeout(BODY_TIMEOUT, Limited::new(body, limit).collect())
+        .await
+        .map_err(|_| Error::new(Kind::SlowRequest, "the body came too slowly"))?;
+    match collected {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(err) if err.is::<LengthLimitError>() => {
+            let message = format!("the body is over {limit} bytes");
+            Err(Error::new(Kind::BodyTooLarge, message))
+        }
+        Err(err) => Err(Error::new(Kind::BadRequest, err.to_string())),
+    }
+}
+
+// A minted id tells its home zone and its age: `zone:millis:instance:count`.
+fn minted_origin(config: &Config, zones: &[String], id: &str) -> Option<(String, Duration)> {
+    let mut parts = id.split(':');
+    let zone = parts.next()?;
+    let millis: u64 = parts.next()?.parse().ok()?;
+    let instance = parts.next()?;
+    let count = parts.next()?;
+    let is_minted = parts.next().is_none()
+        && instance.len() == 16
+        && instance.bytes().all(|b| b.is_ascii_hexdigit())
+        && count.parse::<u64>().is_ok()
+        && zones.iter().any(|known| known == zone);
+    if !is_minted {
+        return None;
+    }
+    let age = Duration::from_millis(wall_millis().saturating_sub(millis));
+    // An id from the future proves nothing; it counts as too old.
+    let from_future = millis > wall_millis() + config.cell.claim_retention.as_millis() as u64;
+    let age = if from_future { Duration::MAX } else { age };
+    Some((zone.to_owned(), age))
+}
+
+fn target_path(path: &str, uri: &Uri) -> String {
+    match uri.query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    }
+}
+
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = HeaderMap::new();
+    for (name, value) in headers {
+        if !is_hop_header(name) {
+            kept.append(name, value.clone());
+        }
+    }
+    kept
+}
+
+fn whole(answer: Whole, id: &str) -> Response {
+    let (head, body) = answer.into_parts();
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = head.status;
+    for (name, value) in &head.headers {
+        if !is_hop_header(name) {
+            response.headers_mut().append(name, value.clone());
+        }
+    }
+    if let Ok(value) = HeaderValue::from_str(id) {
+        response.headers_mut().insert(REQUEST_ID, value);
+    }
+    response
+}
--- /dev/null
+++ b/src/http/headers.rs
@@ -0,0 +1,110 @@
+//! Headers of callers.
+
+use std::time::Duration;
+
+use axum::http::{HeaderMap, Method, header};
+
+use crate::config::Service;
+use crate::error::{Error, Kind, Result};
+
+/// Longest request id, in bytes.
+const ID_MAX: usize = 128;
+/// Worth of a request that names none.
+const DEFAULT_WORTH: u64 = 1;
+
+/// What the headers of a request say.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Wish {
+    /// Caller's request id.
+    pub id: Option<String>,
+    /// Time until the answer stops being of use.
+    pub deadline: Duration,
+    /// Worth if answered in time.
+    pub worth: u64,
+    /// Whether running it twice does no harm.
+    pub idempotent: bool,
+}
+
+/// Reads the headers of a request for `service`.
+///
+/// # Errors
+///
+/// Fails with [`Kind::BadRequest`] if one is malformed.
+pub fn wish(method: &Method, headers: &HeaderMap, service: &Service) -> Result<Wish> {
+    let id = match text(headers, "idempotency-key")? {
+        Some(id) if is_id(id) => Some(id.to_owned()),
+        Some(_) => return Err(bad("Idempotency-Key: 1 to 128 visible characters")),
+        None => None,
+    };
+    let deadline = match number(headers, "x-deadline-ms")? {
+        Some(0) => return Err(bad("X-Deadline-Ms must be above 0")),
+        Some(millis) => Duration::from_millis(millis),
+        None => service.deadline,
+    };
+    let worth = number(headers, "x-worth")?.unwrap_or(DEFAULT_WORTH);
+    let says_idempotent = match text(headers, "x-idempotent")? {
+        None => None,
+        Some("yes") => Some(true),
+        Some("no") => Some(false),
+        Some(_) => return Err(bad("X-Idempotent must be `yes` or `no`")),
+    };
+    let by_method = method.is_idempotent() || (*method == Method::POST && service.post_idempotent);
+    Ok(Wish {
+        id,
+        deadline: deadline.min(MAX_DEADLINE),
+        worth,
+        idempotent: says_idempotent.unwrap_or(by_method),
+    })
+}
+
+/// Longest deadline that a caller can ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
+
+/// Returns the bearer secret of a request, if it has one.
+///
+/// # Errors
+///
+/// Fails with [`Kind::BadRequest`] if the header is malformed.
+pub fn bearer(headers: &HeaderMap) -> Result<Option<&str>> {
+    let Some(value) = headers.get(header::AUTHORIZATION) else {
+        return Ok(None);
+    };
+    let value = value
+        .to_str()
+        .map_err(|_| bad("Authorization is not text"))?;
+    let secret = value
+        .strip_prefix("Bearer ")
+        .ok_or_else(|| bad("Authorization must be `Bearer KEY`"))?;
+    Ok(Some(secret.trim()))
+}
+
+fn is_id(id: &str) -> bool {
+    !id.is_empty() && id.len() <= ID_MAX && id.bytes().all(|b| b.is_ascii_graphic())
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(bad(&format!("{name} stands twice")));
+    }
+    value
+        .to_str()
+        .map(|v| Some(v.trim()))
+        .map_err(|_| bad(&format!("{name} is not text")))
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Result<Option<u64>> {
+    text(headers, name)?
+        .map(|v| {
+            v.parse()
+                .map_err(|_| bad(&format!("{name} is not a whole number")))
+        })
+        .transpose()
+}
+
+fn bad(message: &str) -> Error {
+    Error::new(Kind::BadRequest, message)
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,113 @@
+//! HTTP towards callers, the platform and operators.
+
+mod callers;
+mod headers;
+mod operators;
+mod platform;
+mod pool;
+mod proxy;
+mod reply;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::DefaultBodyLimit;
+use axum::routing::{any, get, post};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+
+pub use operators::{
+    Events, Faults, GiveBody, PushBody, Pushed, Shown, ShownKey, WithdrawnBody, operator_token,
+};
+pub use platform::Announce;
+pub use pool::Pool;
+pub use proxy::Proxy;
+
+use crate::node::Node;
+
+/// Longest time for the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest body that platform and operators may send, in bytes.
+const CONTROL_BODY_MAX: usize = 4 << 20;
+/// Pause after a failure to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What every handler sees.
+#[derive(Clone, Debug)]
+pub struct App {
+    /// The instance.
+    pub node: Node,
+    /// The request plane.
+    pub proxy: Arc<Proxy>,
+}
+
+/// Serves until `close` is cancelled, then ends what runs and returns.
+pub async fn serve(listener: TcpListener, node: Node, close: CancellationToken) {
+    let connections = Arc::new(Semaphore::new(node.settings.connections));
+    let proxy = Arc::new(Proxy::new(node.clone()));
+    let app = router(App {
+        node,
+        proxy: Arc::clone(&proxy),
+    });
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_headers(64);
+    let graceful = GracefulShutdown::new();
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(_) => {
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            },
+            () = close.cancelled() => break,
+        };
+        // Too many connections: closed at once, before anything is read.
+        let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let service = TowerToHyperService::new(app.clone());
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        let connection = graceful.watch(connection.into_owned());
+        tokio::spawn(async move {
+            let _ = connection.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+    proxy.settle().await;
+}
+
+fn router(app: App) -> Router {
+    let control = Router::new()
+        .route("/v1/upstreams", post(platform::announce))
+        .route("/v1/config", get(operators::show).post(operators::push))
+        .route("/v1/keys", get(operators::keys).post(operators::give))
+        .route("/v1/keys/{id}", axum::routing::delete(operators::withdraw))
+        .route("/v1/zones/{zone}/replace", post(operators::replace))
+        .route("/v1/status", get(operators::status))
+        .route("/v1/events", get(operators::events))
+        .layer(DefaultBodyLimit::max(CONTROL_BODY_MAX));
+    Router::new()
+        .route("/v1/services/{service}", any(callers::request_root))
+        .route("/v1/services/{service}/{*path}", any(callers::request))
+        .route("/v1/request-ids", post(callers::mint))
+        .route("/healthz", get(|| async { "ok\n" }))
+        .route("/readyz", get(operators::ready))
+        .merge(control)
+        .fallback(callers::unknown)
+        .with_state(app)
+}
--- /dev/null
+++ b/src/http/pool.rs
@@ -0,0 +1,138 @@
+//! Connections to upstreams: one exchange at a time on each, and none reused
+//! after anything went wrong on it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longest time for a connection to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Unacknowledged data closes a connection after this long.
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// An idle connection is closed after this long.
+const IDLE_MAX: Duration = Duration::from_secs(5);
+/// A connection is proven for non-idempotent requests this long after an exchange.
+const PROVEN_FOR: Duration = Duration::from_millis(500);
+/// Largest head of an answer, in bytes.
+const HEAD_MAX: usize = 64 << 10;
+
+/// A connection that is ready for one exchange.
+#[derive(Debug)]
+pub struct Connection {
+    /// Sends the request.
+    pub sender: SendRequest<Full<Bytes>>,
+    driver: tokio::task::AbortHandle,
+    address: SocketAddr,
+}
+
+impl Connection {
+    /// Closes the connection at once.
+    pub fn close(self) {
+        self.driver.abort();
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+/// Idle connections by upstream address.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// Takes an idle connection that was proven lately, or opens a new one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the upstream cannot be reached; nothing has been sent then.
+    pub async fn take(&self, address: SocketAddr, idempotent: bool) -> std::io::Result<Connection> {
+        let age_max = if idempotent { IDLE_MAX } else { PROVEN_FOR };
+        while let Some(idle) = self.pop(address) {
+            let usable = idle.since.elapsed() < age_max && !idle.connection.sender.is_closed();
+            if usable && idle.connection.sender.is_ready() {
+                return Ok(idle.connection);
+            }
+            idle.connection.close();
+        }
+        connect(address).await
+    }
+
+    fn pop(&self, address: SocketAddr) -> Option<Idle> {
+        let mut idle = self.idle.lock().expect("pool lock");
+        idle.get_mut(&address)?.pop()
+    }
+
+    /// Keeps a connection after a whole exchange, if fewer than `keep` are idle.
+    pub fn put(&self, connection: Connection, keep: usize) {
+        if connection.sender.is_closed() {
+            connection.close();
+            return;
+        }
+        let mut idle = self.idle.lock().expect("pool lock");
+        let list = idle.entry(connection.address).or_default();
+        if list.len() >= keep {
+            drop(idle);
+            connection.close();
+            return;
+        }
+        list.push(Idle {
+            connection,
+            since: Instant::now(),
+        });
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn sweep(&self) {
+        let mut idle = self.idle.lock().expect("pool lock");
+        for list in idle.values_mut() {
+            let (keep, old): (Vec<Idle>, Vec<Idle>) =
+                list.drain(..).partition(|i| i.since.elapsed() < IDLE_MAX);
+            *list = keep;
+            for idle in old {
+                idle.connection.close();
+            }
+        }
+        idle.retain(|_, list| !list.is_empty());
+    }
+}
+
+async fn connect(address: SocketAddr) -> std::io::Result<Connection> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(&stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(Duration::from_secs(1))
+        .with_interval(Duration::from_secs(1))
+        .with_retries(2);
+    socket.set_tcp_keepalive(&keepalive)?;
+    let (sender, driver) = http1::Builder::new()
+        .max_buf_size(HEAD_MAX)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(std::io::Error::other)?;
+    let driver = tokio::spawn(async move {
+        let _ = driver.await;
+    });
+    Ok(Connection {
+        sender,
+        driver: driver.abort_handle(),
+        address,
+    })
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! A cluster scheduler for teams that share one fleet.
+
+pub mod client;
+pub mod clock;
+pub mod cmd;
+pub mod config;
+pub mod core;
+pub mod error;
+pub mod event;
+pub mod http;
+pub mod logs;
+pub mod net;
+pub mod node;
+pub mod settings;
+pub mod standin;
+pub mod store;
+pub mod traffic;
+pub mod util;
+pub mod wire;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,10 @@
+//! The operators' command line.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use plantaincross::cmd::{self, Cli};
+
+fn main() -> ExitCode {
+    cmd::finish(cmd::run(Cli::parse()))
+}
--- /dev/null
+++ b/src/net/link.rs
@@ -0,0 +1,129 @@
+//! One link: frames both ways, closed when silent.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use prost::Message;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::sync::CancellationToken;
+
+use crate::core::control::{PEER_SILENCE_MAX, Peer};
+use crate::core::registry::InstanceId;
+use crate::wire::{Body, Frame};
+
+/// Frames that wait to be written to one peer. Beyond it the link is closed.
+const OUTBOX_MAX: usize = 8_192;
+
+/// What the links tell the control thread.
+#[derive(Debug)]
+pub enum Notice {
+    /// A link is up.
+    Up(Peer, Link),
+    /// A link is down.
+    Down(InstanceId, u64),
+    /// A message came.
+    Message(InstanceId, Body),
+    /// A connection was refused.
+    Refused(String),
+}
+
+/// The sending end of a link.
+#[derive(Clone, Debug)]
+pub struct Link {
+    /// Number of the link, unique in the process.
+    pub number: u64,
+    outbox: mpsc::Sender<Body>,
+    token: CancellationToken,
+}
+
+/// Bytes and messages that went over all links of an instance.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Messages sent.
+    pub sent: AtomicU64,
+    /// Bytes sent, with the length of each frame.
+    pub sent_bytes: AtomicU64,
+    /// Messages received.
+    pub received: AtomicU64,
+    /// Bytes received, with the length of each frame.
+    pub received_bytes: AtomicU64,
+}
+
+impl Link {
+    /// Makes a link and the receiving end of its outbox.
+    pub fn new(number: u64, token: CancellationToken) -> (Self, mpsc::Receiver<Body>) {
+        let (outbox, inbox) = mpsc::channel(OUTBOX_MAX);
+        let link = Self {
+            number,
+            outbox,
+            token,
+        };
+        (link, inbox)
+    }
+
+    /// Queues a message. A link whose peer does not keep up is closed.
+    pub fn send(&self, body: Body) {
+        if self.outbox.try_send(body).is_err() {
+            self.token.cancel();
+        }
+    }
+
+    /// Closes the link.
+    pub fn close(&self) {
+        self.token.cancel();
+    }
+}
+
+/// Runs a link until it breaks, falls silent or is closed.
+pub async fn run<S: AsyncRead + AsyncWrite + Unpin + Send + 'static>(
+    framed: Framed<S, LengthDelimitedCodec>,
+    peer: InstanceId,
+    mut outbox: mpsc::Receiver<Body>,
+    notices: mpsc::Sender<Notice>,
+    counters: Arc<Counters>,
+    token: CancellationToken,
+) {
+    const FRAME_HEAD: u64 = 4;
+    let (mut sink, mut stream) = framed.split::<Bytes>();
+    let write = async {
+        while let Some(body) = outbox.recv().await {
+            let frame = Frame { body: Some(body) };
+            let bytes = frame.encode_to_vec();
+            counters.sent.fetch_add(1, Ordering::Relaxed);
+            let size = bytes.len() as u64 + FRAME_HEAD;
+            counters.sent_bytes.fetch_add(size, Ordering::Relaxed);
+            match timeout(PEER_SILENCE_MAX, sink.send(Bytes::from(bytes))).await {
+                Ok(Ok(())) => {}
+                _ => return,
+            }
+        }
+    };
+    let read = async {
+        while let Ok(Some(Ok(bytes))) = timeout(PEER_SILENCE_MAX, stream.next()).await {
+            counters.received.fetch_add(1, Ordering::Relaxed);
+            let size = bytes.len() as u64 + FRAME_HEAD;
+            counters.received_bytes.fetch_add(size, Ordering::Relaxed);
+            // A malformed frame closes the link.
+            let Some(body) = decode(bytes) else {
+                return;
+            };
+            if notices.send(Notice::Message(peer, body)).await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        () = write => {}
+        () = read => {}
+        () = token.cancelled() => {}
+    }
+}
+
+fn decode(bytes: BytesMut) -> Option<Body> {
+    Frame::decode(bytes).ok()?.body
+}
--- /dev/null
+++ b/src/net/mesh.rs
@@ -0,0 +1,248 @@
+//! Links to all known instances of the cell.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::handshake::{HANDSHAKE_TIMEOUT, Refusal, Side, shake};
+use super::link::{self, Counters, Link, Notice};
+use crate::core::control::{PEER_SILENCE_MAX, Peer};
+use crate::core::registry::InstanceId;
+use crate::wire::Hello;
+
+/// Interval of attempts to reach instances without a link.
+const DIAL_EVERY: Duration = Duration::from_millis(400);
+/// Longest time for a connection to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Handshakes under way at once.
+const HANDSHAKES_MAX: usize = 64;
+/// Addresses that are remembered.
+const ADDRESSES_MAX: usize = 256;
+
+/// What this instance tells its peers of itself.
+#[derive(Clone, Debug)]
+pub struct Introduction {
+    /// Run of the process.
+    pub id: InstanceId,
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address for peers.
+    pub address: String,
+    /// Identity as a replica.
+    pub replica: u64,
+    /// Whether it has a disk.
+    pub durable: bool,
+}
+
+/// The links of one instance.
+#[derive(Debug)]
+pub struct Mesh {
+    me: Introduction,
+    secret: Vec<u8>,
+    founded: AtomicBool,
+    addresses: Mutex<HashSet<String>>,
+    linked: Mutex<HashMap<String, u64>>,
+    notices: mpsc::Sender<Notice>,
+    next_link: AtomicU64,
+    token: CancellationToken,
+    /// What went over the links.
+    pub counters: Arc<Counters>,
+}
+
+impl Mesh {
+    /// Makes the mesh of an instance; nothing is opened yet.
+    pub fn new(
+        me: Introduction,
+        secret: Vec<u8>,
+        seeds: &[String],
+        notices: mpsc::Sender<Notice>,
+        token: CancellationToken,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            me,
+            secret,
+            founded: AtomicBool::new(false),
+            addresses: Mutex::new(seeds.iter().cloned().collect()),
+            linked: Mutex::new(HashMap::new()),
+            notices,
+            next_link: AtomicU64::new(1),
+            token,
+            counters: Arc::default(),
+        })
+    }
+
+    /// Records that this instance has joined a founded group.
+    pub fn set_founded(&self) {
+        self.founded.store(true, Ordering::Relaxed);
+    }
+
+    /// Adds addresses that peers told of.
+    pub fn learn(&self, addresses: &[String]) {
+        let mut known = self.addresses.lock().expect("addresses lock");
+        for address in addresses {
+            if known.len() < ADDRESSES_MAX {
+                known.insert(address.clone());
+            }
+        }
+    }
+
+    /// Accepts and opens links until the token is cancelled.
+    pub async fn run(self: Arc<Self>, listener: TcpListener) {
+        let accept = Arc::clone(&self).accept(listener);
+        let dial = Arc::clone(&self).dial();
+        tokio::select! {
+            () = accept => {}
+            () = dial => {}
+            () = self.token.cancelled() => {}
+        }
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        let permits = Arc::new(Semaphore::new(HANDSHAKES_MAX));
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                sleep(DIAL_EVERY).await;
+                continue;
+            };
+            let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+                continue;
+            };
+            let mesh = Arc::clone(&self);
+            tokio::spawn(async move {
+                let shaken = mesh.establish(stream, Side::Acceptor).await;
+                drop(permit);
+                mesh.carry(shaken, None).await;
+            });
+        }
+    }
+
+    async fn dial(self: Arc<Self>) {
+        let dialing: Arc<Mutex<HashSet<String>>> = Arc::default();
+        loop {
+            for address in self.unlinked() {
+                if !dialing
+                    .lock()
+                    .expect("dialing lock")
+                    .insert(address.clone())
+                {
+                    continue;
+                }
+                let mesh = Arc::clone(&self);
+                let dialing = Arc::clone(&dialing);
+                tokio::spawn(async move {
+                    let shaken = mesh.connect(&address).await;
+                    dialing.lock().expect("dialing lock").remove(&address);
+                    mesh.carry(shaken, Some(address)).await;
+                });
+            }
+            sleep(DIAL_EVERY).await;
+        }
+    }
+
+    fn unlinked(&self) -> Vec<String> {
+        let linked = self.linked.lock().expect("linked lock");
+        let known = self.addresses.lock().expect("addresses lock");
+        known
+            .iter()
+            .filter(|a| **a != self.me.address && !linked.contains_key(*a))
+            .cloned()
+            .collect()
+    }
+
+    async fn connect(&self, address: &str) -> Result<Shaken, Refusal> {
+        let target: SocketAddr = address.parse().map_err(|_| Refusal::Malformed)?;
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(target))
+            .await
+            .map_err(|_| Refusal::Closed)?
+            .map_err(|source| Refusal::Io { source })?;
+        self.establish(stream, Side::Dialer).await
+    }
+
+    async fn establish(&self, stream: TcpStream, side: Side) -> Result<Shaken, Refusal> {
+        tune(&stream).map_err(|source| Refusal::Io { source })?;
+        let hello = Hello {
+            id: self.me.id.0,
+            name: self.me.name.clone(),
+            zone: self.me.zone.clone(),
+            address: self.me.address.clone(),
+            replica: self.me.replica,
+            durable: self.me.durable,
+            founded: self.founded.load(Ordering::Relaxed),
+        };
+        timeout(HANDSHAKE_TIMEOUT, shake(stream, side, &self.secret, &hello))
+            .await
+            .map_err(|_| Refusal::Closed)?
+    }
+
+    async fn carry(&self, shaken: Result<Shaken, Refusal>, dialed: Option<String>) {
+        let (hello, framed) = match shaken {
+            Ok(shaken) => shaken,
+            Err(err @ (Refusal::Secret | Refusal::Version { .. } | Refusal::Malformed)) => {
+                let _ = self.notices.send(Notice::Refused(err.to_string())).await;
+                return;
+            }
+            Err(Refusal::Io { .. } | Refusal::Closed) => return,
+        };
+        if hello.id == self.me.id.0 {
+            return;
+        }
+        let peer = peer_of(hello);
+        let id = peer.id;
+        let number = self.next_link.fetch_add(1, Ordering::Relaxed);
+        let token = self.token.child_token();
+        let (link, outbox) = Link::new(number, token.clone());
+        let addresses: Vec<String> = std::iter::once(peer.address.clone())
+            .chain(dialed)
+            .collect();
+        self.learn(&addresses[..1]);
+        {
+            let mut linked = self.linked.lock().expect("linked lock");
+            for address in &addresses {
+                linked.insert(address.clone(), number);
+            }
+        }
+        if self.notices.send(Notice::Up(peer, link)).await.is_err() {
+            return;
+        }
+        let counters = Arc::clone(&self.counters);
+        link::run(framed, id, outbox, self.notices.clone(), counters, token).await;
+        self.linked
+            .lock()
+            .expect("linked lock")
+            .retain(|_, at| *at != number);
+        let _ = self.notices.send(Notice::Down(id, number)).await;
+    }
+}
+
+type Shaken = (
+    Hello,
+    tokio_util::codec::Framed<TcpStream, tokio_util::codec::LengthDelimitedCodec>,
+);
+
+fn peer_of(hello: Hello) -> Peer {
+    Peer {
+        id: InstanceId(hello.id),
+        name: hello.name,
+        zone: hello.zone,
+        address: hello.address,
+        replica: hello.replica,
+        durable: hello.durable,
+        founded: hello.founded,
+    }
+}
+
+fn tune(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    // Unacknowledged data closes a path that silently drops packets.
+    SockRef::from(stream).set_tcp_user_timeout(Some(PEER_SILENCE_MAX))
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,179 @@
+//! Settings of one instance, read from an INI file.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use ini::Ini;
+
+use crate::config::{is_name, line_of};
+use crate::error::{Error, Kind, Result};
+use crate::util::parse_duration;
+
+/// Shortest accepted secret, in bytes.
+const SECRET_MIN: usize = 16;
+
+/// Settings of one instance.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name, unique in the cell.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address for callers, the platform and operators.
+    pub http: SocketAddr,
+    /// Address for peers; must be reachable by them as written.
+    pub peer: SocketAddr,
+    /// Peer addresses of some other instances.
+    pub seeds: Vec<String>,
+    /// Secret that all instances of the cell share.
+    pub secret: Vec<u8>,
+    /// Token that upstreams and workers present; empty admits all.
+    pub platform_token: String,
+    /// Data folder, on instances with a disk.
+    pub data: Option<PathBuf>,
+    /// Names of the instances that found the root group.
+    pub founders: Vec<String>,
+    /// A voter that was silent for longer is replaced by a spare.
+    pub replace_after: Duration,
+    /// How long a planned stop goes on serving after it was announced.
+    pub drain_notice: Duration,
+    /// Longest time for a planned stop.
+    pub drain_limit: Duration,
+    /// Log file; logs go to standard error without one.
+    pub log: Option<PathBuf>,
+    /// Connections from callers at once.
+    pub connections: usize,
+}
+
+impl Settings {
+    /// Returns settings with defaults for everything that need not be given.
+    pub fn new(name: &str, zone: &str, http: SocketAddr, peer: SocketAddr, secret: &[u8]) -> Self {
+        Self {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            http,
+            peer,
+            seeds: Vec::new(),
+            secret: secret.to_vec(),
+            platform_token: String::new(),
+            data: None,
+            founders: Vec::new(),
+            replace_after: Duration::from_secs(60),
+            drain_notice: Duration::from_secs(2),
+            drain_limit: Duration::from_secs(30),
+            log: None,
+            connections: 1_024,
+        }
+    }
+
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `file:line: message` for the first thing that is wrong.
+    pub fn read(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|err| invalid(format!("{}: {err}", path.display())))?;
+        Self::parse(&text)
+            .map_err(|(line, message)| invalid(format!("{}:{line}: {message}", path.display())))
+    }
+
+    fn parse(text: &str) -> Result<Self, (usize, String)> {
+        let ini = Ini::load_from_str(text).map_err(|err| (err.line, err.msg.to_string()))?;
+        let unset: SocketAddr = ([0, 0, 0, 0], 0).into();
+        let mut settings = Self::new("", "", unset, unset, b"");
+        for (section, values) in &ini {
+            let section = section.unwrap_or_default();
+            for (key, value) in values.iter() {
+                let line = line_of(text, section, 0, Some(key));
+                settings
+                    .set(section, key, value.trim())
+                    .map_err(|message| (line, message))?;
+            }
+        }
+        settings.check().map_err(|message| (0, message))?;
+        Ok(settings)
+    }
+
+    fn set(&mut self, section: &str, key: &str, value: &str) -> Result<(), String> {
+        let words = || value.split_whitespace().map(str::to_owned).collect();
+        match (section, key) {
+            ("instance", "name") => self.name = name(value)?,
+            ("instance", "zone") => self.zone = name(value)?,
+            ("instance", "http") => self.http = address(value)?,
+            ("instance", "peer") => self.peer = address(value)?,
+            ("instance", "data") => self.data = Some(value.into()),
+            ("instance", "log") => self.log = Some(value.into()),
+            ("instance", "connections") => {
+                self.connections = value
+                    .parse()
+                    .map_err(|_| format!("`{value}` is not a number"))?;
+            }
+            ("cell", "seeds") => {
+                self.seeds = words();
+                for seed in &self.seeds {
+                    address(seed)?;
+                }
+            }
+            ("cell", "founders") => self.founders = words(),
+            ("cell", "secret-file") => self.secret = read_secret(Path::new(value))?,
+            ("cell", "platform-token-file") => {
+                let token = read_secret(Path::new(value))?;
+                self.platform_token =
+                    String::from_utf8(token).map_err(|_| format!("{value} is not text"))?;
+            }
+            ("cell", "replace-after") => self.replace_after = parse_duration(value)?,
+            ("drain", "notice") => self.drain_notice = parse_duration(value)?,
+            ("drain", "limit") => self.drain_limit = parse_duration(value)?,
+            _ => return Err(format!("unknown key `{key}` in [{section}]")),
+        }
+        Ok(())
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if self.name.is_empty() || self.zone.is_empty() {
+            return Err("[instance] needs `name` and `zone`".into());
+        }
+        if self.http.port() == 0 || self.peer.port() == 0 {
+            return Err("[instance] needs `http` and `peer` addresses".into());
+        }
+        if self.secret.len() < SECRET_MIN {
+            return Err(format!(
+                "[cell] needs a `secret-file` of {SECRET_MIN} bytes or more"
+            ));
+        }
+        if self.founders.contains(&self.name) && self.data.is_none() {
+            return Err("a founder needs a `data` folder".into());
+        }
+        Ok(())
+    }
+}
+
+/// Reads a secret from a file, without white space around it.
+///
+/// # Errors
+///
+/// Fails with a message if the file cannot be read.
+pub fn read_secret(path: &Path) -> Result<Vec<u8>, String> {
+    let bytes = std::fs::read(path).map_err(|err| format!("{}: {err}", path.display()))?;
+    Ok(bytes.trim_ascii().to_vec())
+}
+
+fn name(value: &str) -> Result<String, String> {
+    if is_name(value) {
+        Ok(value.to_owned())
+    } else {
+        Err(format!("`{value}` is not a name"))
+    }
+}
+
+fn address(value: &str) -> Result<SocketAddr, String> {
+    value
+        .parse()
+        .map_err(|_| format!("`{value}` is not an address such as 127.0.0.1:7000"))
+}
+
+fn invalid(message: String) -> Error {
+    Error::new(Kind::InvalidConfig, message)
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,6 @@
+//! Stand-ins for the systems outside: upstreams and workers that speak the
+//! published protocols. For trials, tests and measurements.
+
+mod upstream;
+
+pub use upstream::{Behaviour, Ledger, Plan, Upstream};
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,8 @@
+//! Files of the data folder.
+
+mod folder;
+mod record;
+mod wal;
+
+pub use folder::Folder;
+pub use wal::Wal;
--- /dev/null
+++ b/src/store/wal.rs
@@ -0,0 +1,304 @@
+//! The replica's term, vote, snapshot and log on disk.
+
+use std::fs::File;
+use std::io::{Seek, SeekFrom, Write};
+
+use bytes::Bytes;
+use prost::{Message, Oneof};
+
+use super::folder::{Folder, open_private, write_atomically};
+use super::record::{self, Found};
+use crate::core::consensus::{Hard, Ready, Snapshot, Stored};
+use crate::error::{Error, Kind, Result};
+use crate::wire::{Entry, Voter};
+
+const LOG: &str = "log";
+const SNAPSHOT: &str = "snapshot";
+
+/// One record of the log file.
+#[derive(Clone, PartialEq, Message)]
+struct Line {
+    #[prost(oneof = "Content", tags = "1, 2, 3")]
+    content: Option<Content>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+enum Content {
+    #[prost(message, tag = "1")]
+    Hard(HardLine),
+    #[prost(message, tag = "2")]
+    Entry(Entry),
+    /// Removes the entries from this index on.
+    #[prost(uint64, tag = "3")]
+    Truncate(u64),
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+struct HardLine {
+    #[prost(uint64, tag = "1")]
+    term: u64,
+    #[prost(fixed64, tag = "2")]
+    vote: u64,
+    /// Number of snapshots of other replicas that the log file follows.
+    #[prost(uint64, tag = "3")]
+    generation: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct SnapshotFile {
+    #[prost(uint64, tag = "1")]
+    index: u64,
+    #[prost(uint64, tag = "2")]
+    term: u64,
+    #[prost(message, repeated, tag = "3")]
+    voters: Vec<Voter>,
+    #[prost(bytes = "bytes", tag = "4")]
+    data: Bytes,
+    /// Entries of a log file of an earlier generation do not follow this snapshot.
+    #[prost(uint64, tag = "5")]
+    generation: u64,
+}
+
+/// The log file, open for appending.
+#[derive(Debug)]
+pub struct Wal {
+    folder: Folder,
+    file: File,
+    end: u64,
+    hard: Hard,
+    generation: u64,
+}
+
+impl Wal {
+    /// Reads what the folder holds and opens the log for appending. A torn tail is
+    /// cut off.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be read or is damaged elsewhere than at its tail.
+    pub fn open(folder: Folder) -> Result<(Self, Stored)> {
+        let (snapshot, generation) = read_snapshot(&folder)?;
+        let path = folder.path().join(LOG);
+        let bytes: Bytes = match std::fs::read(&path) {
+            Ok(bytes) => bytes.into(),
+            Err(err) if err.kind() == std::io::ErrorKind::NotFound => Bytes::new(),
+            Err(err) => return Err(err.into()),
+        };
+        let (lines, end) = read_lines(&bytes).map_err(|at| {
+            let message = format!("{} is damaged at byte {at}", path.display());
+            Error::new(Kind::Internal, message)
+        })?;
+        let first = lines.first().cloned();
+        let mut stored = Stored {
+            snapshot,
+            ..Stored::default()
+        };
+        for line in lines {
+            replay(&mut stored, line);
+        }
+        if first.map_or(0, |line| log_generation(&line)) < generation {
+            stored.entries.clear();
+        }
+        check_sequence(&stored)?;
+        let file = open_private(&path)?;
+        file.set_len(end as u64)?;
+        file.sync_all()?;
+        File::open(folder.path())?.sync_all()?;
+        let wal = Self {
+            folder,
+            file,
+            end: end as u64,
+            hard: stored.hard,
+            generation,
+        };
+        Ok((wal, stored))
+    }
+
+    /// Returns the size of the log file, in bytes.
+    pub const fn size(&self) -> u64 {
+        self.end
+    }
+
+    /// Returns the identity of the replica.
+    pub const fn replica(&self) -> u64 {
+        self.folder.replica()
+    }
+
+    /// Stores what `ready` holds and syncs it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it could not be synced, as on a full disk. The file is then as
+    /// before, and the call may be repeated.
+    pub fn store(&mut self, ready: &Ready) -> std::io::Result<()> {
+        if let Some(snapshot) = &ready.snapshot {
+            // A crash between the two steps must not join the old log to it.
+            self.generation += 1;
+            self.write_snapshot(snapshot)?;
+            self.rewrite(ready.hard.unwrap_or(self.hard), &ready.entries)?;
+            return Ok(());
+        }
+        let mut buf = Vec::new();
+        if let Some(hard) = ready.hard {
+            put(&mut buf, hard_line(hard, self.generation));
+        }
+        if let Some(from) = ready.truncate_from {
+            put(&mut buf, Content::Truncate(from));
+        }
+        for entry in &ready.entries {
+            put(&mut buf, Content::Entry(entry.clone()));
+        }
+        if buf.is_empty() {
+            return Ok(());
+        }
+        self.append(&buf)?;
+        self.hard = ready.hard.unwrap_or(self.hard);
+        Ok(())
+    }
+
+    /// Stores a snapshot of the replica's own state and drops the log before it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it could not be synced; log and old snapshot are then unchanged or
+    /// complete with the new one.
+    pub fn compact(&mut self, snapshot: &Snapshot, entries: &[Entry]) -> std::io::Result<()> {
+        self.write_snapshot(snapshot)?;
+        self.rewrite(self.hard, entries)
+    }
+
+    fn append(&mut self, buf: &[u8]) -> std::io::Result<()> {
+        let written = self
+            .file
+            .seek(SeekFrom::Start(self.end))
+            .and_then(|_| self.file.write_all(buf))
+            .and_then(|()| self.file.sync_data());
+        if let Err(err) = written {
+            // What was written in part must not be taken for a record later.
+            self.file.set_len(self.end)?;
+            return Err(err);
+        }
+        self.end += buf.len() as u64;
+        Ok(())
+    }
+
+    fn write_snapshot(&self, snapshot: &Snapshot) -> std::io::Result<()> {
+        let file = SnapshotFile {
+            index: snapshot.index,
+            term: snapshot.term,
+            voters: snapshot.voters.clone(),
+            data: snapshot.data.clone(),
+            generation: self.generation,
+        };
+        let mut buf = Vec::new();
+        record::put(&mut buf, &file.encode_to_vec());
+        write_atomically(self.folder.path(), SNAPSHOT, &buf)
+    }
+
+    fn rewrite(&mut self, hard: Hard, entries: &[Entry]) -> std::io::Result<()> {
+        let mut buf = Vec::new();
+        put(&mut buf, hard_line(hard, self.generation));
+        for entry in entries {
+            put(&mut buf, Content::Entry(entry.clone()));
+        }
+        write_atomically(self.folder.path(), LOG, &buf)?;
+        self.file = open_private(&self.folder.path().join(LOG))?;
+        self.end = buf.len() as u64;
+        self.hard = hard;
+        Ok(())
+    }
+}
+
+const fn hard_line(hard: Hard, generation: u64) -> Content {
+    Content::Hard(HardLine {
+        term: hard.term,
+        vote: hard.vote,
+        generation,
+    })
+}
+
+fn put(buf: &mut Vec<u8>, content: Content) {
+    let line = Line {
+        content: Some(content),
+    };
+    record::put(buf, &line.encode_to_vec());
+}
+
+fn read_snapshot(folder: &Folder) -> Result<(Snapshot, u64)> {
+    let path = folder.path().join(SNAPSHOT);
+    let bytes: Bytes = match std::fs::read(&path) {
+        Ok(bytes) => bytes.into(),
+        Err(err) if err.kind() == std::io::ErrorKind::NotFound => return Ok(Default::default()),
+        Err(err) => return Err(err.into()),
+    };
+    let file = match record::get(&bytes, 0) {
+        Found::Record(content, _) => SnapshotFile::decode(content).ok(),
+        Found::End | Found::Damage => None,
+    };
+    let Some(file) = file else {
+        let message = format!("{} is damaged", path.display());
+        return Err(Error::new(Kind::Internal, message));
+    };
+    let snapshot = Snapshot {
+        index: file.index,
+        term: file.term,
+        voters: file.voters,
+        data: file.data,
+    };
+    Ok((snapshot, file.generation))
+}
+
+// Yields the records and the position after the last, or the position of damage
+// that is not a torn tail.
+fn read_lines(bytes: &Bytes) -> Result<(Vec<Content>, usize), usize> {
+    let mut lines = Vec::new();
+    let mut at = 0;
+    loop {
+        match record::get(bytes, at) {
+            Found::Record(content, next) => {
+                let line = Line::decode(content).map_err(|_| at)?;
+                lines.extend(line.content);
+                at = next;
+            }
+            Found::End => return Ok((lines, at)),
+            Found::Damage if record::any_after(bytes, at) => return Err(at),
+            Found::Damage => return Ok((lines, at)),
+        }
+    }
+}
+
+// Every log file but the first of a folder starts with its generation.
+const fn log_generation(first: &Content) -> u64 {
+    match first {
+        Content::Hard(hard) => hard.generation,
+        Content::Entry(_) | Content::Truncate(_) => 0,
+    }
+}
+
+fn replay(stored: &mut Stored, line: Content) {
+    match line {
+        Content::Hard(hard) => {
+            stored.hard = Hard {
+                term: hard.term,
+                vote: hard.vote,
+            };
+        }
+        // Entries that the snapshot contains are left over from a compaction that
+        // was cut short.
+        Content::Entry(entry) if entry.index > stored.snapshot.index => {
+            stored.entries.push(entry);
+        }
+        Content::Entry(_) => {}
+        Content::Truncate(from) => stored.entries.retain(|e| e.index < from),
+    }
+}
+
+fn check_sequence(stored: &Stored) -> Result<()> {
+    for (next, entry) in (stored.snapshot.index + 1..).zip(&stored.entries) {
+        if entry.index != next {
+            let message = format!("the log lacks entry {next}");
+            return Err(Error::new(Kind::Internal, message));
+        }
+    }
+    Ok(())
+}
