--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,546 @@
+//! Messages between the system's processes.
+
+use bytes::Bytes;
+use prost::{Message, Oneof};
+
+/// Version of the protocol. Peers of another version are refused by name.
+pub const VERSION: u32 = 1;
+/// Largest frame, in bytes.
+pub const FRAME_MAX: usize = 4 << 20;
+
+/// One frame of a peer link.
+#[derive(Clone, PartialEq, Message)]
+pub struct Frame {
+    /// Content.
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    pub body: Option<Body>,
+}
+
+/// Content of a frame.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// Consensus message.
+    #[prost(message, tag = "1")]
+    Raft(Raft),
+    /// Heartbeat of the link, and who else is known.
+    #[prost(message, tag = "2")]
+    Ping(Ping),
+    /// Question that gets one answer.
+    #[prost(message, tag = "3")]
+    Call(Call),
+    /// Answer to a question.
+    #[prost(message, tag = "4")]
+    Return(Return),
+    /// Request for a zone leader's lease.
+    #[prost(message, tag = "5")]
+    LeaseRequest(LeaseRequest),
+    /// Answer to it.
+    #[prost(message, tag = "6")]
+    LeaseReply(LeaseReply),
+    /// Request for the promise of a member of the roster.
+    #[prost(message, tag = "7")]
+    PromiseRequest(LeaseRequest),
+    /// Answer to it.
+    #[prost(message, tag = "8")]
+    PromiseReply(LeaseReply),
+    /// Report of an entry instance to a zone leader.
+    #[prost(message, tag = "9")]
+    Report(Report),
+    /// Allotment of a zone leader to an entry instance.
+    #[prost(message, tag = "10")]
+    Allotment(Allotment),
+    /// Withdrawn keys, spread at once.
+    #[prost(message, tag = "11")]
+    Withdrawn(Withdrawn),
+}
+
+/// Heartbeat of a link.
+#[derive(Clone, PartialEq, Message)]
+pub struct Ping {
+    /// Sender's clock, in microseconds.
+    #[prost(uint64, tag = "1")]
+    pub sent_at: u64,
+    /// The latest `sent_at` that came from the other side.
+    #[prost(uint64, tag = "2")]
+    pub echo: u64,
+    /// Time since that came, in microseconds.
+    #[prost(uint64, tag = "3")]
+    pub held: u64,
+    /// Peer addresses that the sender knows.
+    #[prost(string, repeated, tag = "4")]
+    pub peers: Vec<String>,
+    /// Whether the sender is stopping.
+    #[prost(bool, tag = "5")]
+    pub leaving: bool,
+    /// Age of the sender's knowledge of the root group's state, in microseconds;
+    /// absent if it has none.
+    #[prost(uint64, optional, tag = "6")]
+    pub fresh_age: Option<u64>,
+    /// Position in the log that this knowledge reaches to.
+    #[prost(uint64, tag = "7")]
+    pub fresh_index: u64,
+}
+
+/// Question with a number that its answer repeats.
+#[derive(Clone, PartialEq, Message)]
+pub struct Call {
+    /// Number, unique for the caller.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Encoded question.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub body: Bytes,
+}
+
+/// Answer to a question.
+#[derive(Clone, PartialEq, Message)]
+pub struct Return {
+    /// Number of the question.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Encoded answer.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub body: Bytes,
+}
+
+/// Request for a lease or a promise.
+#[derive(Clone, PartialEq, Message)]
+pub struct LeaseRequest {
+    /// Zone that is led.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// Term of the leadership, or the last term seen by one that asks to lead.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Sender's clock, in microseconds.
+    #[prost(uint64, tag = "3")]
+    pub sent_at: u64,
+    /// Whether the sender asks to be named leader, having let its promise lapse.
+    #[prost(bool, tag = "4")]
+    pub campaign: bool,
+    /// Roster that the sender wants, as instance numbers; empty to keep it.
+    #[prost(uint64, repeated, tag = "5")]
+    pub roster: Vec<u64>,
+    /// Whether the sender holds authority now.
+    #[prost(bool, tag = "6")]
+    pub has_authority: bool,
+}
+
+/// Answer to a request for a lease or a promise.
+#[derive(Clone, PartialEq, Message)]
+pub struct LeaseReply {
+    /// Zone.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// Term that the answer is for.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// `sent_at` of the request.
+    #[prost(uint64, tag = "3")]
+    pub sent_at: u64,
+    /// Whether it is granted.
+    #[prost(bool, tag = "4")]
+    pub granted: bool,
+}
+
+/// Demand of one team for one service.
+#[derive(Clone, PartialEq, Message)]
+pub struct Demand {
+    /// Service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Team.
+    #[prost(string, tag = "2")]
+    pub team: String,
+    /// Requests waiting.
+    #[prost(uint64, tag = "3")]
+    pub waiting: u64,
+    /// Requests running.
+    #[prost(uint64, tag = "4")]
+    pub running: u64,
+}
+
+/// Counters of one escrow account.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Balance {
+    /// Cell.
+    #[prost(fixed64, tag = "1")]
+    pub cell: u64,
+    /// Units given in all.
+    #[prost(uint64, tag = "2")]
+    pub given: u64,
+    /// Units returned in all.
+    #[prost(uint64, tag = "3")]
+    pub returned: u64,
+}
+
+/// Report of an entry instance to a zone leader.
+#[derive(Clone, PartialEq, Message)]
+pub struct Report {
+    /// Zone whose leader it is for.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// Accounts' epoch that the report is made under.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Sender's clock, in microseconds.
+    #[prost(uint64, tag = "3")]
+    pub sent_at: u64,
+    /// Whether `slots` and `units` are opening balances in use.
+    #[prost(bool, tag = "4")]
+    pub opening: bool,
+    /// Slot accounts that changed.
+    #[prost(message, repeated, tag = "5")]
+    pub slots: Vec<Balance>,
+    /// Team unit accounts that changed.
+    #[prost(message, repeated, tag = "6")]
+    pub units: Vec<Balance>,
+    /// Requests waiting and running.
+    #[prost(message, repeated, tag = "7")]
+    pub demands: Vec<Demand>,
+    /// Number of the latest allotment received in this epoch.
+    #[prost(uint64, tag = "9")]
+    pub received: u64,
+    /// Number of this report.
+    #[prost(uint64, tag = "10")]
+    pub number: u64,
+    /// Zone that the sender is in.
+    #[prost(string, tag = "11")]
+    pub from_zone: String,
+    /// Whether the sender is stopping and wants nothing more.
+    #[prost(bool, tag = "12")]
+    pub leaving: bool,
+}
+
+/// What an entry instance needs to know of an upstream.
+#[derive(Clone, PartialEq, Message)]
+pub struct UpstreamInfo {
+    /// Name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Incarnation.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Service.
+    #[prost(string, tag = "3")]
+    pub service: String,
+    /// Address.
+    #[prost(string, tag = "4")]
+    pub address: String,
+    /// Slots.
+    #[prost(uint32, tag = "5")]
+    pub slots: u32,
+    /// Connections.
+    #[prost(uint32, tag = "6")]
+    pub connections: u32,
+    /// Whether it takes nothing new.
+    #[prost(bool, tag = "7")]
+    pub leaving: bool,
+    /// Whether it is gone.
+    #[prost(bool, tag = "8")]
+    pub gone: bool,
+}
+
+/// Request to return idle units.
+#[derive(Clone, PartialEq, Message)]
+pub struct Recall {
+    /// Service or team.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Units wanted back.
+    #[prost(uint64, tag = "2")]
+    pub units: u64,
+}
+
+/// Allotment of a zone leader to an entry instance.
+#[derive(Clone, PartialEq, Message)]
+pub struct Allotment {
+    /// Zone.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// Epoch of the accounts. Another epoch than the holder's means: open anew.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// `sent_at` of the report that this answers.
+    #[prost(uint64, tag = "3")]
+    pub sent_at: u64,
+    /// Number of this allotment within the epoch.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+    /// Report number that this answers.
+    #[prost(uint64, tag = "5")]
+    pub answers: u64,
+    /// Upstreams that changed.
+    #[prost(message, repeated, tag = "6")]
+    pub upstreams: Vec<UpstreamInfo>,
+    /// Slot accounts that changed.
+    #[prost(message, repeated, tag = "7")]
+    pub slots: Vec<Balance>,
+    /// Team unit accounts that changed.
+    #[prost(message, repeated, tag = "8")]
+    pub units: Vec<Balance>,
+    /// Slots wanted back by service.
+    #[prost(message, repeated, tag = "9")]
+    pub recall_slots: Vec<Recall>,
+    /// Team units wanted back.
+    #[prost(message, repeated, tag = "10")]
+    pub recall_units: Vec<Recall>,
+    /// Whether the accounts are closed until the sender has opened them anew.
+    #[prost(bool, tag = "11")]
+    pub reopen: bool,
+    /// Position in the log that the zone leader has applied.
+    #[prost(uint64, tag = "12")]
+    pub applied: u64,
+}
+
+/// Withdrawn keys.
+#[derive(Clone, PartialEq, Message)]
+pub struct Withdrawn {
+    /// Names of the keys.
+    #[prost(string, repeated, tag = "1")]
+    pub keys: Vec<String>,
+}
+
+/// Consensus message.
+#[derive(Clone, PartialEq, Message)]
+pub struct Raft {
+    /// Sender's term.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// Replica that sends.
+    #[prost(fixed64, tag = "2")]
+    pub from: u64,
+    /// Replica that it is for.
+    #[prost(fixed64, tag = "3")]
+    pub to: u64,
+    /// Content.
+    #[prost(oneof = "RaftBody", tags = "4, 5, 6, 7, 8, 9, 10")]
+    pub body: Option<RaftBody>,
+}
+
+/// Content of a consensus message.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum RaftBody {
+    /// Asks for a vote.
+    #[prost(message, tag = "4")]
+    Vote(Vote),
+    /// Answers that.
+    #[prost(message, tag = "5")]
+    VoteReply(VoteReply),
+    /// Replicates entries.
+    #[prost(message, tag = "6")]
+    Append(Append),
+    /// Answers that.
+    #[prost(message, tag = "7")]
+    AppendReply(AppendReply),
+    /// Carries part of a snapshot.
+    #[prost(message, tag = "8")]
+    Snapshot(SnapshotPart),
+    /// Answers that.
+    #[prost(message, tag = "9")]
+    SnapshotReply(SnapshotReply),
+    /// Asks the leader to replicate to the sender.
+    #[prost(message, tag = "10")]
+    Observe(Observe),
+}
+
+/// Request for a vote.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Vote {
+    /// Whether it only asks if a vote would be given.
+    #[prost(bool, tag = "1")]
+    pub pre: bool,
+    /// Index of the candidate's last entry.
+    #[prost(uint64, tag = "2")]
+    pub last_index: u64,
+    /// Term of the candidate's last entry.
+    #[prost(uint64, tag = "3")]
+    pub last_term: u64,
+    /// Term that the candidate runs for.
+    #[prost(uint64, tag = "4")]
+    pub for_term: u64,
+}
+
+/// Answer to a request for a vote.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct VoteReply {
+    /// Whether it answers a pre-vote.
+    #[prost(bool, tag = "1")]
+    pub pre: bool,
+    /// Whether the vote is given.
+    #[prost(bool, tag = "2")]
+    pub granted: bool,
+    /// Term that the candidate runs for.
+    #[prost(uint64, tag = "3")]
+    pub for_term: u64,
+}
+
+/// One entry of the log.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Entry {
+    /// Term in which it was proposed.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// Position in the log.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+    /// Encoded command; empty for a change of the group.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub command: Bytes,
+    /// Voters from this entry on; empty for a command.
+    #[prost(message, repeated, tag = "4")]
+    pub voters: Vec<Voter>,
+}
+
+/// A voting replica.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Message)]
+pub struct Voter {
+    /// Replica.
+    #[prost(fixed64, tag = "1")]
+    pub replica: u64,
+    /// Name of its instance.
+    #[prost(string, tag = "2")]
+    pub name: String,
+}
+
+/// Replicates entries.
+#[derive(Clone, PartialEq, Message)]
+pub struct Append {
+    /// Index of the entry before the first.
+    #[prost(uint64, tag = "1")]
+    pub prev_index: u64,
+    /// Term of that entry.
+    #[prost(uint64, tag = "2")]
+    pub prev_term: u64,
+    /// Entries.
+    #[prost(message, repeated, tag = "3")]
+    pub entries: Vec<Entry>,
+    /// Leader's commit index.
+    #[prost(uint64, tag = "4")]
+    pub commit: u64,
+    /// Leader's clock, in microseconds.
+    #[prost(uint64, tag = "5")]
+    pub sent_at: u64,
+    /// Age of the leader's latest contact with a quorum, in microseconds.
+    #[prost(uint64, tag = "6")]
+    pub quorum_age: u64,
+}
+
+/// Answer to [`Append`].
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct AppendReply {
+    /// Whether the entries were taken.
+    #[prost(bool, tag = "1")]
+    pub ok: bool,
+    /// Last matching index, or where to go on if not taken.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+    /// `sent_at` of the request.
+    #[prost(uint64, tag = "3")]
+    pub sent_at: u64,
+}
+
+/// Part of a snapshot.
+#[derive(Clone, PartialEq, Message)]
+pub struct SnapshotPart {
+    /// Index of the last entry in the snapshot.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// Term of that entry.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Position of `data` in the snapshot.
+    #[prost(uint64, tag = "3")]
+    pub offset: u64,
+    /// Length of the snapshot.
+    #[prost(uint64, tag = "4")]
+    pub total: u64,
+    /// Bytes.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub data: Bytes,
+    /// CRC-32 of the whole snapshot.
+    #[prost(uint32, tag = "6")]
+    pub crc: u32,
+    /// Voters at that index.
+    #[prost(message, repeated, tag = "7")]
+    pub voters: Vec<Voter>,
+    /// Leader's clock, in microseconds.
+    #[prost(uint64, tag = "8")]
+    pub sent_at: u64,
+}
+
+/// Answer to [`SnapshotPart`].
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct SnapshotReply {
+    /// Snapshot that it answers.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// Bytes received without a gap.
+    #[prost(uint64, tag = "2")]
+    pub received: u64,
+    /// `sent_at` of the part.
+    #[prost(uint64, tag = "3")]
+    pub sent_at: u64,
+}
+
+/// Asks the leader to replicate to the sender.
+#[derive(Clone, PartialEq, Message)]
+pub struct Observe {
+    /// Index of the sender's last entry.
+    #[prost(uint64, tag = "1")]
+    pub last_index: u64,
+    /// Whether the sender keeps its log on a disk.
+    #[prost(bool, tag = "2")]
+    pub durable: bool,
+    /// Name of the sender's instance.
+    #[prost(string, tag = "3")]
+    pub name: String,
+}
+
+/// First frame of each side of a link, before anything else is read.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Challenge {
+    /// Protocol version.
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// Random bytes that the other side's proof must cover.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub nonce: Bytes,
+}
+
+/// Second frame of each side of a link.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Proof {
+    /// Encoded [`Hello`].
+    #[prost(bytes = "bytes", tag = "1")]
+    pub hello: Bytes,
+    /// HMAC-SHA-256 over direction, both nonces and `hello`.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub mac: Bytes,
+}
+
+/// What an instance says of itself.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Hello {
+    /// Run of its process.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// Name.
+    #[prost(string, tag = "2")]
+    pub name: String,
+    /// Availability zone.
+    #[prost(string, tag = "3")]
+    pub zone: String,
+    /// Address for peers.
+    #[prost(string, tag = "4")]
+    pub address: String,
+    /// Identity as a replica.
+    #[prost(fixed64, tag = "5")]
+    pub replica: u64,
+    /// Whether it has a disk.
+    #[prost(bool, tag = "6")]
+    pub durable: bool,
+    /// Whether it has joined a founded group.
+    #[prost(bool, tag = "7")]
+    pub founded: bool,
+}
--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,55 @@
+//! Merging and checking of configuration folders.
+
+use plantaincross::config::{Source, merge};
+
+fn source(name: &str, text: &str) -> Source {
+    Source {
+        name: name.to_owned(),
+        text: text.to_owned(),
+    }
+}
+
+fn faults(text: &str) -> String {
+    let faults = merge(&[source("a.ini", text)]).expect_err("has faults");
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+macro_rules! refuses {
+    ($($name:ident: $text:expr => $expected:expr;)*) => {
+        $(#[test] fn $name() { assert_eq!(faults($text), $expected); })*
+    };
+}
+
+refuses! {
+    unknown_section: "[teem a]\nshare = 1\n" => "a.ini:1: unknown section [teem a]";
+    unknown_key: "[team a]\nshare = 1\nlimit = 2\nshear = 3\n" => "a.ini:4: unknown key `shear` in [team]";
+    wrong_type: "[team a]\nshare = much\nlimit = 2\n" => "a.ini:2: `much` is not a whole number in range\na.ini:2: team a needs a share of at least 1";
+    wrong_unit: "[service s]\ndeadline = 5 parsecs\n" => "a.ini:2: `5 parsecs` is not a duration (units: ms, s, m, h)";
+    section_twice: "[team a]\nshare = 1\nlimit = 1\n[team a]\nlimit = 2\n" => "a.ini:4: section [team a] stands twice";
+    share_of_zero: "[team a]\nshare = 0\nlimit = 1\n" => "a.ini:2: team a needs a share of at least 1";
+    limit_above_fleet: "[cell]\nfleet = 5\n[team a]\nshare = 1\nlimit = 6\n" => "a.ini:5: limit 6 is above the fleet of 5";
+    unknown_team: "[service s]\nopen = ghost\n" => "a.ini:2: team ghost does not exist";
+    key_outside: "share = 1\n" => "a.ini:1: key outside of any section";
+    bad_name: "[team a/b]\n" => "a.ini:1: [team a/b] needs a name of letters, digits, `-`, `_` or `.`";
+}
+
+#[test]
+fn later_files_override_earlier_ones() {
+    let first = source("10.ini", "[team a]\nshare = 1\nlimit = 2\n");
+    let second = source("20.ini", "[team a]\nlimit = 7\n");
+    let config = merge(&[first, second]).expect("merges");
+    assert_eq!(config.teams["a"].share, 1);
+    assert_eq!(config.teams["a"].limit, 7);
+}
+
+#[test]
+fn digest_depends_on_content_only() {
+    let one = merge(&[source("a.ini", "[team a]\nshare = 1\nlimit = 2\n")]).expect("merges");
+    let two = merge(&[
+        source("b.ini", "[team a]\nlimit = 2\n"),
+        source("c.ini", "[team a]\n; a comment\nshare = 1\n"),
+    ])
+    .expect("merges");
+    assert_eq!(one.digest(), two.digest());
+}
