Let a voter that was voted out while away learn of it

Cause: seeded schedules (seed 28 of tests/consensus.rs) ended with a removed replica that campaigned for ever: nobody answers its pre-votes, and only observers asked to be replicated to. Ruled out: lost commits, all others agreed. Change: a voter that hears no leader also asks to observe. Agreement is now driven by 2,000 schedules of loss, reordering, repetition, one-way cuts, pauses, crashes around the sync, skewed clocks and member changes. Conclusion: no safety check had failed; the fault was one of liveness.

--- a/src/core/consensus/replica.rs
+++ b/src/core/consensus/replica.rs
@@ -306,6 +306,9 @@
             _ if self.is_voter() => {
                 if now >= self.election_at {
                     self.campaign(now, true);
+                    // A voter that was voted out while it was away learns of it as
+                    // an observer; nobody answers its votes.
+                    self.send_observe(0);
                 }
             }
             _ => self.tick_observer(now),
@@ -580,14 +583,18 @@
         if now.since(self.contact) > ELECTION_MAX {
             self.leader = None;
         }
+        self.send_observe(self.leader.unwrap_or(0));
+    }
+
+    // Addressed to replica 0, the driver sends it to every peer; only a leader
+    // takes it.
+    fn send_observe(&mut self, to: u64) {
         let observe = Observe {
             last_index: self.log.last_index(),
             durable: self.durable,
             name: self.name.clone(),
         };
-        // Addressed to any replica: the driver sends it to every peer, and only a
-        // leader takes it.
-        self.send(self.leader.unwrap_or(0), RaftBody::Observe(observe));
+        self.send(to, RaftBody::Observe(observe));
     }
 
     fn step_observe(&mut self, now: Moment, from: u64, observe: &Observe) {
--- /dev/null
+++ b/tests/consensus.rs
@@ -0,0 +1,491 @@
+//! Agreement under seeded schedules of loss, delay, reordering, repetition,
+//! pauses, crashes with only synced bytes kept, restarts and member changes.
+//!
+//! A longer run: `SCHEDULES=100000 cargo test --release --test consensus`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bytes::Bytes;
+use plantaincross::core::consensus::{Hard, Ready, Replica, Snapshot, Stored};
+use plantaincross::core::time::Moment;
+use plantaincross::wire::{Entry, Raft, Voter};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const TICK: u64 = 25_000;
+const LENGTH: u64 = 12_000_000;
+const START: u64 = 10_000_000;
+
+/// What one replica has synced.
+#[derive(Clone, Default)]
+struct Disk {
+    hard: Hard,
+    snapshot: Snapshot,
+    entries: Vec<Entry>,
+}
+
+impl Disk {
+    fn store(&mut self, ready: &Ready) {
+        if let Some(hard) = ready.hard {
+            self.hard = hard;
+        }
+        if let Some(snapshot) = &ready.snapshot {
+            self.snapshot = snapshot.clone();
+            self.entries.clear();
+        }
+        if let Some(from) = ready.truncate_from {
+            self.entries.retain(|e| e.index < from);
+        }
+        self.entries.extend(ready.entries.iter().cloned());
+    }
+
+    fn stored(&self) -> Stored {
+        Stored {
+            hard: self.hard,
+            snapshot: self.snapshot.clone(),
+            entries: self.entries.clone(),
+        }
+    }
+}
+
+struct Host {
+    id: u64,
+    replica: Option<Replica>,
+    disk: Disk,
+    /// Parts in a thousand by which its clock is fast.
+    skew: i64,
+    offset: u64,
+    paused_until: u64,
+    applied: u64,
+    compact_at: u64,
+}
+
+impl Host {
+    fn clock(&self, time: u64) -> Moment {
+        let drift = time as i64 / 1_000 * self.skew;
+        Moment((time as i64 + drift) as u64 + self.offset)
+    }
+}
+
+struct Cluster {
+    rng: ChaCha8Rng,
+    time: u64,
+    hosts: Vec<Host>,
+    network: BTreeMap<(u64, u64), Raft>,
+    sent: u64,
+    cut: BTreeSet<(u64, u64)>,
+    loss: u32,
+    leaders: BTreeMap<u64, u64>,
+    committed: BTreeMap<u64, Entry>,
+    acknowledged: Vec<(u64, Bytes)>,
+    proposed: u64,
+}
+
+impl Cluster {
+    fn new(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let count = if seed % 3 == 0 { 5 } else { 3 };
+        let loss = rng.random_range(0..30);
+        let hosts = (1..=count + 1)
+            .map(|id| {
+                let offset = rng.random_range(0..1_000_000_000);
+                Host {
+                    id,
+                    replica: None,
+                    disk: Disk::default(),
+                    skew: rng.random_range(-3..=3),
+                    offset,
+                    paused_until: 0,
+                    applied: 0,
+                    compact_at: rng.random_range(5..40),
+                }
+            })
+            .collect();
+        let mut cluster = Self {
+            rng,
+            time: START,
+            hosts,
+            network: BTreeMap::new(),
+            sent: 0,
+            cut: BTreeSet::new(),
+            loss,
+            leaders: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            acknowledged: Vec::new(),
+            proposed: 0,
+        };
+        for at in 0..cluster.hosts.len() {
+            cluster.start(at);
+        }
+        // The last host is a spare.
+        let voters = (1..=count).map(voter).collect();
+        let now = cluster.hosts[0].clock(cluster.time);
+        let founder = cluster.hosts[0].replica.as_mut().expect("started");
+        founder.found(now, voters);
+        cluster.settle(0);
+        cluster
+    }
+
+    fn start(&mut self, at: usize) {
+        let seed = self.rng.random();
+        let host = &mut self.hosts[at];
+        let now = host.clock(self.time);
+        let stored = host.disk.stored();
+        host.applied = stored.snapshot.index;
+        let name = host.id.to_string();
+        host.replica = Some(Replica::new(host.id, &name, true, stored, now, seed));
+    }
+
+    /// Stores, sends and applies what a replica has ready, as a driver does. With
+    /// `crash`, the process dies after a step of it.
+    fn settle(&mut self, at: usize) {
+        loop {
+            let now = self.hosts[at].clock(self.time);
+            let Some(replica) = &mut self.hosts[at].replica else {
+                return;
+            };
+            replica.flush(now);
+            let ready = replica.take_ready();
+            if ready.hard.is_none()
+                && ready.snapshot.is_none()
+                && ready.truncate_from.is_none()
+                && ready.entries.is_empty()
+                && ready.messages.is_empty()
+                && ready.committed.is_empty()
+            {
+                return;
+            }
+            let crash = self.rng.random_ratio(1, 2_000);
+            if crash && self.rng.random() {
+                self.hosts[at].replica = None;
+                return;
+            }
+            self.hosts[at].disk.store(&ready);
+            if crash {
+                self.hosts[at].replica = None;
+                return;
+            }
+            let replica = self.hosts[at].replica.as_mut().expect("running");
+            replica.persisted(now);
+            for message in ready.messages {
+                self.post(message);
+            }
+            if let Some(snapshot) = ready.snapshot {
+                self.hosts[at].applied = snapshot.index;
+            }
+            for entry in ready.committed {
+                self.apply(at, entry);
+            }
+            self.compact(at);
+        }
+    }
+
+    fn apply(&mut self, at: usize, entry: Entry) {
+        let host = &mut self.hosts[at];
+        assert_eq!(entry.index, host.applied + 1, "entries are applied in order");
+        host.applied = entry.index;
+        if let Some(known) = self.committed.get(&entry.index) {
+            assert_eq!(*known, entry, "a committed entry never changes");
+        } else {
+            self.committed.insert(entry.index, entry);
+        }
+    }
+
+    fn compact(&mut self, at: usize) {
+        let host = &mut self.hosts[at];
+        let Some(replica) = &mut host.replica else {
+            return;
+        };
+        if (replica.log().len() as u64) < host.compact_at {
+            return;
+        }
+        let data = Bytes::from(vec![7; 100_000]);
+        if let Some(snapshot) = replica.compact(host.applied, data) {
+            host.disk.entries.retain(|e| e.index > snapshot.index);
+            host.disk.snapshot = snapshot;
+        }
+    }
+
+    fn post(&mut self, message: Raft) {
+        let targets: Vec<u64> = if message.to == 0 {
+            self.hosts.iter().map(|h| h.id).collect()
+        } else {
+            vec![message.to]
+        };
+        for to in targets {
+            if to == message.from || self.cut.contains(&(message.from, to)) {
+                continue;
+            }
+            let copies = if self.rng.random_ratio(1, 40) { 2 } else { 1 };
+            for _ in 0..copies {
+                if self.rng.random_ratio(self.loss, 100) {
+                    continue;
+                }
+                let slow = self.rng.random_ratio(1, 30);
+                let top = if slow { 1_500_000 } else { 20_000 };
+                let delay = self.rng.random_range(500..top);
+                self.sent += 1;
+                self.network
+                    .insert((self.time + delay, self.sent), Raft { to, ..message.clone() });
+            }
+        }
+    }
+
+    fn run(&mut self, seed: u64) {
+        let mut next_tick = self.time;
+        while self.time < START + LENGTH {
+            while let Some((&(at, number), _)) = self.network.first_key_value() {
+                if at > next_tick {
+                    break;
+                }
+                let message = self.network.remove(&(at, number)).expect("first");
+                self.time = self.time.max(at);
+                self.deliver(message);
+            }
+            self.time = next_tick;
+            next_tick += TICK;
+            for at in 0..self.hosts.len() {
+                self.tick(at);
+            }
+            self.disturb();
+            self.check(seed);
+        }
+    }
+
+    fn deliver(&mut self, message: Raft) {
+        let Some(at) = self.hosts.iter().position(|h| h.id == message.to) else {
+            return;
+        };
+        if self.hosts[at].paused_until > self.time {
+            // A paused process finds it in its socket when it goes on.
+            self.sent += 1;
+            let later = self.hosts[at].paused_until + self.sent % 1_000;
+            self.network.insert((later, self.sent), message);
+            return;
+        }
+        let now = self.hosts[at].clock(self.time);
+        if let Some(replica) = &mut self.hosts[at].replica {
+            replica.step(now, message);
+            self.settle(at);
+        }
+    }
+
+    fn tick(&mut self, at: usize) {
+        if self.hosts[at].paused_until > self.time {
+            return;
+        }
+        let now = self.hosts[at].clock(self.time);
+        let Some(replica) = &mut self.hosts[at].replica else {
+            if self.rng.random_ratio(1, 60) {
+                self.start(at);
+            }
+            return;
+        };
+        replica.tick(now);
+        if replica.is_leader() && self.rng.random_ratio(1, 4) {
+            self.proposed += 1;
+            let command = Bytes::from(self.proposed.to_le_bytes().to_vec());
+            let index = replica.propose(command.clone()).expect("leads");
+            self.acknowledged.push((index, command));
+        }
+        self.settle(at);
+    }
+
+    fn disturb(&mut self) {
+        let count = self.hosts.len();
+        match self.rng.random_range(0..200) {
+            0 => {
+                let at = self.rng.random_range(0..count);
+                self.hosts[at].replica = None;
+            }
+            1 => {
+                let at = self.rng.random_range(0..count);
+                let length = self.rng.random_range(100_000..4_000_000);
+                self.hosts[at].paused_until = self.time + length;
+            }
+            2 => self.partition(),
+            3..6 => self.cut.clear(),
+            6 => self.change_members(),
+            _ => {}
+        }
+    }
+
+    // One host, one direction or two halves.
+    fn partition(&mut self) {
+        let ids: Vec<u64> = self.hosts.iter().map(|h| h.id).collect();
+        let side: Vec<u64> = ids
+            .iter()
+            .copied()
+            .filter(|_| self.rng.random())
+            .collect();
+        let one_way = self.rng.random_ratio(1, 3);
+        for &a in &side {
+            for &b in ids.iter().filter(|b| !side.contains(b)) {
+                self.cut.insert((a, b));
+                if !one_way {
+                    self.cut.insert((b, a));
+                }
+            }
+        }
+    }
+
+    fn change_members(&mut self) {
+        let all: Vec<Voter> = self.hosts.iter().map(|h| voter(h.id)).collect();
+        let pick = self.rng.random_range(0..all.len());
+        for host in &mut self.hosts {
+            let Some(replica) = host.replica.as_mut().filter(|r| r.is_leader()) else {
+                continue;
+            };
+            let mut voters = replica.voters().to_vec();
+            let one = all[pick].clone();
+            if voters.contains(&one) {
+                voters.retain(|v| *v != one);
+            } else {
+                voters.push(one);
+            }
+            if voters.len() >= 2 {
+                // Refused while another change is under way.
+                let _ = replica.propose_voters(voters);
+            }
+        }
+    }
+
+    fn check(&mut self, seed: u64) {
+        let mut leased = 0;
+        for host in &self.hosts {
+            let Some(replica) = &host.replica else {
+                continue;
+            };
+            if replica.is_leader() {
+                let known = *self.leaders.entry(replica.term()).or_insert(host.id);
+                assert_eq!(known, host.id, "seed {seed}: one leader a term");
+            }
+            // A paused process checks its clock before it acts.
+            if replica.is_leased(host.clock(self.time)) {
+                leased += 1;
+                let newest = self.committed.keys().next_back().copied().unwrap_or(0);
+                assert!(
+                    replica.commit() >= newest,
+                    "seed {seed}: a leased leader knows all commits: {} of {newest}",
+                    replica.commit()
+                );
+            }
+        }
+        assert!(leased <= 1, "seed {seed}: {leased} leaders hold a lease");
+    }
+
+    /// Heals everything and requires that the group goes on.
+    fn recover(&mut self, seed: u64) {
+        self.cut.clear();
+        self.loss = 0;
+        let before = self.committed.len();
+        for at in 0..self.hosts.len() {
+            self.hosts[at].paused_until = 0;
+            if self.hosts[at].replica.is_none() {
+                self.start(at);
+            }
+        }
+        let end = self.time + 20_000_000;
+        let mut next_tick = self.time;
+        while self.time < end {
+            while let Some((&(at, number), _)) = self.network.first_key_value() {
+                if at > next_tick {
+                    break;
+                }
+                let message = self.network.remove(&(at, number)).expect("first");
+                self.time = self.time.max(at);
+                self.deliver(message);
+            }
+            self.time = next_tick;
+            next_tick += TICK;
+            for at in 0..self.hosts.len() {
+                if self.hosts[at].replica.is_none() {
+                    self.start(at);
+                }
+                self.tick(at);
+            }
+            self.check(seed);
+            let caught_up = |h: &Host| h.applied + 3 >= self.committed.len() as u64;
+            if self.committed.len() > before + 20 && self.hosts.iter().all(caught_up) {
+                return;
+            }
+        }
+        let state: Vec<String> = self.hosts.iter().map(describe).collect();
+        panic!(
+            "seed {seed}: the group did not go on after everything was healed, {} before, {} after\n{}",
+            before,
+            self.committed.len(),
+            state.join("\n")
+        );
+    }
+}
+
+fn describe(host: &Host) -> String {
+    let Some(replica) = &host.replica else {
+        return format!("{}: down", host.id);
+    };
+    let voters: Vec<&str> = replica.voters().iter().map(|v| v.name.as_str()).collect();
+    format!(
+        "{}: term {} leader {:?} commit {} applied {} log {}..{} voters {voters:?}",
+        host.id,
+        replica.term(),
+        replica.leader(),
+        replica.commit(),
+        host.applied,
+        replica.log().first_index(),
+        replica.log().last_index()
+    )
+}
+
+fn voter(id: u64) -> Voter {
+    Voter {
+        replica: id,
+        name: id.to_string(),
+    }
+}
+
+fn schedules(from: u64, count: u64) {
+    for seed in from..from + count {
+        let mut cluster = Cluster::new(seed);
+        cluster.run(seed);
+        cluster.recover(seed);
+    }
+}
+
+fn per_part() -> u64 {
+    let total: u64 = std::env::var("SCHEDULES")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(2_000);
+    total / 4
+}
+
+macro_rules! parts {
+    ($($name:ident: $part:expr;)*) => {
+        $(#[test] fn $name() { schedules($part * 1_000_000, per_part()); })*
+    };
+}
+
+parts! {
+    schedules_first_quarter: 0;
+    schedules_second_quarter: 1;
+    schedules_third_quarter: 2;
+    schedules_last_quarter: 3;
+}
+
+#[test]
+fn restarted_replica_waits_before_it_votes() {
+    let now = Moment::from_millis(50_000);
+    let voters = vec![voter(1), voter(2), voter(3)];
+    let mut first = Replica::new(1, "1", true, Stored::default(), now, 1);
+    first.found(now, voters);
+    first.tick(now);
+    let ask = first.take_ready().messages;
+    let mut second = Replica::new(2, "2", true, Stored::default(), now, 2);
+    let vote = ask.into_iter().find(|m| m.to == 2).expect("asked");
+    second.step(now + Duration::from_millis(900), vote.clone());
+    assert!(second.take_ready().messages.is_empty());
+    second.step(now + Duration::from_millis(1_100), vote);
+    assert_eq!(second.take_ready().messages.len(), 1);
+}
