Keep slots and limits whole through leader changes, late reports and restarts

Cause: seeded schedules over five whole control states (tests/cell.rs) showed upstreams with 5 and 6 of 4 slots in use and teams above their limit. Traces gave six causes: a zone leader never told holders of an upstream that came up after them; idle units of an expired allotment were adopted after others had them; counters of an earlier epoch were carried into a new one; openings for an upstream not yet announced to a new leader were dropped; a second expiry of a holder kept the first one's date; an upstream's count of running requests could be older than the holder's last request. Besides, units given before the configuration was known were lost to an entry instance for good. Change: each is mended at its place; heartbeats of upstreams repeat a mark of the leader's last answer, so that counts are known to be younger than it.

--- a/src/core/agent.rs
+++ b/src/core/agent.rs
@@ -23,6 +23,7 @@
 struct Opening {
     slots: Vec<(Cell, u64)>,
     units: Vec<(Cell, u64)>,
+    kept_idle: bool,
 }
 
 /// The relation to the leader of one zone.
@@ -181,7 +182,7 @@
 
 impl Source {
     fn reopen(&mut self, now: Moment, gate: &mut Gate, epoch: u64) {
-        if self.epoch == epoch && self.opening.is_some() {
+        if self.epoch == epoch {
             return;
         }
         self.epoch = epoch;
@@ -189,13 +190,18 @@
         self.number = 0;
         self.unacked.clear();
         self.acked.clear();
+        let kept_idle = now < gate.expiry(self.key);
         let slots = gate.reopen_slots(now, self.key);
         let units = if self.local {
             gate.reopen_units(now)
         } else {
             Vec::new()
         };
-        self.opening = Some(Opening { slots, units });
+        self.opening = Some(Opening {
+            slots,
+            units,
+            kept_idle,
+        });
         self.sent_at = Moment::ZERO;
     }
 
@@ -212,8 +218,14 @@
         if wants {
             report.demands = demands(gate);
         }
-        if let Some(Opening { slots, units }) = &self.opening {
+        if let Some(Opening {
+            slots,
+            units,
+            kept_idle,
+        }) = &self.opening
+        {
             report.opening = true;
+            report.kept_idle = *kept_idle;
             report.slots = slots.iter().map(|&(c, held)| opening(c, held)).collect();
             report.units = units.iter().map(|&(c, held)| opening(c, held)).collect();
             return report;
--- a/src/core/control/mod.rs
+++ b/src/core/control/mod.rs
@@ -242,6 +242,11 @@
         &self.replica
     }
 
+    /// Returns whether a link to `peer` is known.
+    pub fn knows(&self, peer: InstanceId) -> bool {
+        self.peers.contains_key(&peer)
+    }
+
     /// Returns the zone leadership as this instance sees it.
     pub const fn seat(&self) -> &Seat {
         &self.seat
--- a/src/core/control/query.rs
+++ b/src/core/control/query.rs
@@ -5,7 +5,7 @@
 use super::{Control, Origin};
 use crate::core::claim;
 use crate::core::gate::TeamStat;
-use crate::core::office::Heartbeat;
+use crate::core::office::{Heartbeat, Seen};
 use crate::core::registry::{Command, InstanceId, Outcome, Push};
 use crate::core::time::Moment;
 use crate::error::{Error, Kind};
@@ -55,6 +55,8 @@
 pub enum Answer {
     /// Done.
     Done,
+    /// The heartbeat was taken.
+    Heard(Seen),
     /// What applying the command gave.
     Outcome(Outcome),
     /// Units of teams that the zone should return.
--- a/src/core/control/zone.rs
+++ b/src/core/control/zone.rs
@@ -6,7 +6,7 @@
 use super::{Answer, Control, Effect, Origin, Query, Target};
 use crate::core::claim;
 use crate::core::lease::Action;
-use crate::core::office::{Heartbeat, Office, UnitDemand};
+use crate::core::office::{Heartbeat, Office, Seen, UnitDemand};
 use crate::core::registry::InstanceId;
 use crate::core::time::Moment;
 use crate::error::{Error, Kind};
@@ -229,10 +229,11 @@
         let Some(office) = &mut self.office else {
             return Answer::Failed(Error::from(Kind::NoQuorum));
         };
+        let term = office.term();
         match office.announce(now, beat) {
             Ok(events) => {
                 self.effects.extend(events.into_iter().map(Effect::Event));
-                Answer::Done
+                Answer::Heard(Seen { term, at: now })
             }
             Err(err) => Answer::Failed(err),
         }
--- a/src/core/gate/mod.rs
+++ b/src/core/gate/mod.rs
@@ -163,6 +163,7 @@
     upstreams: BTreeMap<UpstreamKey, Upstream>,
     cells: HashMap<Cell, UpstreamKey>,
     retired: HashMap<Cell, (SourceKey, Account)>,
+    early_units: HashMap<Cell, u64>,
     next_upstream: u32,
     expiries: Vec<Moment>,
     team_source: SourceKey,
@@ -183,11 +184,16 @@
             return key;
         }
         let key = TeamKey(u32::try_from(self.teams.len()).expect("fewer than 2^32 teams"));
+        let cell = crate::util::cell_named(name);
+        let mut holding = Holding::default();
+        if let Some(given) = self.early_units.remove(&cell) {
+            holding.receive(given);
+        }
         self.teams.push(Team {
             name: name.to_owned(),
-            cell: crate::util::cell_named(name),
+            cell,
             share,
-            holding: Holding::default(),
+            holding,
             completed: 0,
             slot_time: Duration::ZERO,
         });
@@ -351,6 +357,12 @@
                 team.holding.receive(given);
             }
         }
+        // The configuration that names the team may still be on its way.
+        for balance in balances {
+            self.early_units.insert(Cell(balance.cell), balance.given);
+        }
+        let known: BTreeSet<Cell> = self.teams.iter().map(|t| t.cell).collect();
+        self.early_units.retain(|cell, _| !known.contains(cell));
     }
 
     /// Closes all slot accounts of `source` and opens them anew; yields the opening
@@ -372,6 +384,7 @@
     /// Does for team units what [`Gate::reopen_slots`] does for slots.
     pub fn reopen_units(&mut self, now: Moment) -> Vec<(Cell, u64)> {
         let keep = now < self.expiry(self.team_source);
+        self.early_units.clear();
         let mut opening = Vec::new();
         for team in &mut self.teams {
             team.holding = reopened(team.holding, keep);
--- a/src/core/office/host.rs
+++ b/src/core/office/host.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::config::is_name;
@@ -27,6 +28,35 @@
     pub leaving: bool,
     /// Requests that it runs, by the instance that sent them, if it counts them.
     pub running: Option<BTreeMap<InstanceId, u32>>,
+    /// What the latest answer to a heartbeat carried; the counts are younger.
+    pub seen: Option<Seen>,
+}
+
+/// Mark that a zone leader gives with its answer and that the next heartbeat
+/// repeats, so that the leader knows what that heartbeat is younger than.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+#[display("{term}-{}", at.0)]
+pub struct Seen {
+    /// Term of the leadership.
+    pub term: u64,
+    /// Leader's clock when it answered.
+    pub at: Moment,
+}
+
+impl std::str::FromStr for Seen {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let parse = || {
+            let (term, at) = text.split_once('-')?;
+            Some(Self {
+                term: term.parse().ok()?,
+                at: Moment(at.parse().ok()?),
+            })
+        };
+        parse().ok_or_else(|| Error::new(Kind::BadAnnouncement, "`seen` is not a mark"))
+    }
 }
 
 /// An upstream and the accounts of its slots.
--- a/src/core/office/mod.rs
+++ b/src/core/office/mod.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-pub use host::{Heartbeat, Host};
+pub use host::{Heartbeat, Host, Seen};
 
 use crate::core::escrow::{Cell, Issuer};
 use crate::core::gate::{Announcement, cell_of};
@@ -231,7 +231,7 @@
             return Err(Error::new(Kind::BadAnnouncement, message));
         }
         let changed = host.take(now, beat);
-        if changed {
+        if changed || is_new {
             self.mark_host(cell);
         }
         let upstream = beat.announcement.name.clone();
@@ -240,7 +240,10 @@
             (_, true) => Some(Event::UpstreamLeaving { upstream }),
             _ => None,
         };
-        self.settle_lingering(now, cell, beat.running.as_ref());
+        if let Some(running) = &beat.running {
+            let counted_after = beat.seen.filter(|seen| seen.term == self.term);
+            self.settle_lingering(now, cell, running, counted_after.map(|seen| seen.at));
+        }
         Ok(event)
     }
 
@@ -307,6 +310,13 @@
             return self.ask_to_reopen(now, from, report);
         }
         if report.opening {
+            if report.kept_idle && now >= self.safe_at() {
+                // Idle units of an earlier leader have expired and may have been
+                // given to others since.
+                let holder = self.new_holder(now, local);
+                self.holders.insert(from, holder);
+                return self.ask_to_reopen(now, from, report);
+            }
             self.open_accounts(now, from, report);
         }
         self.settle(now, from, report);
@@ -354,10 +364,17 @@
     }
 
     fn open_accounts(&mut self, now: Moment, from: InstanceId, report: &wire::Report) {
+        // Counters of an earlier epoch mean nothing in this one.
+        self.close_accounts(from);
         for balance in &report.slots {
-            if let Some(host) = self.hosts.get_mut(&Cell(balance.cell)) {
-                host.issuer_mut().adopt(from, balance.given);
-            }
+            let cell = Cell(balance.cell);
+            // An upstream that has not announced itself to this leader yet takes
+            // over the accounts kept here when it does.
+            let issuer = match self.hosts.get_mut(&cell) {
+                Some(host) => host.issuer_mut(),
+                None => self.retired.entry(cell).or_insert_with(|| Issuer::new(0)),
+            };
+            issuer.adopt(from, balance.given);
         }
         for balance in &report.units {
             if let Some(name) = self.unit_names.get(&Cell(balance.cell)) {
@@ -375,8 +392,13 @@
 
     fn settle(&mut self, now: Moment, from: InstanceId, report: &wire::Report) {
         for balance in &report.slots {
-            if let Some(host) = self.hosts.get_mut(&Cell(balance.cell)) {
-                host.issuer_mut().settle(from, balance.returned);
+            let cell = Cell(balance.cell);
+            let issuer = match self.hosts.get_mut(&cell) {
+                Some(host) => Some(host.issuer_mut()),
+                None => self.retired.get_mut(&cell),
+            };
+            if let Some(issuer) = issuer {
+                issuer.settle(from, balance.returned);
             }
         }
         for balance in &report.units {
@@ -494,7 +516,7 @@
                 expired_at: now,
                 until: now + with_clock_margin(self.run_limit),
             };
-            self.lingering.entry(id).or_insert(linger);
+            self.lingering.insert(id, linger);
         }
         let ended: Vec<InstanceId> = self
             .lingering
@@ -507,12 +529,18 @@
             if self.holders.get(&id).is_some_and(|h| h.open) {
                 continue;
             }
-            for host in self.hosts.values_mut() {
-                host.issuer_mut().forget(id);
-            }
-            for units in self.units.values_mut() {
-                units.issuer.forget(id);
-            }
+            self.close_accounts(id);
+        }
+    }
+
+    fn close_accounts(&mut self, id: InstanceId) {
+        let retired = self.retired.values_mut();
+        let hosts = self.hosts.values_mut().map(Host::issuer_mut);
+        for issuer in hosts.chain(retired) {
+            issuer.forget(id);
+        }
+        for units in self.units.values_mut() {
+            units.issuer.forget(id);
         }
     }
 
@@ -549,20 +577,21 @@
     }
 
     // An upstream's own count of running requests tells what a lost holder left
-    // on it, once that holder can send nothing more.
+    // on it, if it was made after that holder could send anything more.
     fn settle_lingering(
         &mut self,
         now: Moment,
         cell: Cell,
-        running: Option<&BTreeMap<InstanceId, u32>>,
+        running: &BTreeMap<InstanceId, u32>,
+        counted_after: Option<Moment>,
     ) {
-        let Some(running) = running else {
+        let Some(counted_after) = counted_after else {
             return;
         };
-        let settled = self.first || now >= self.safe_at();
+        let settled = self.first || counted_after >= self.safe_at();
         let host = self.hosts.get_mut(&cell).expect("announced upstream");
         for (&id, linger) in &self.lingering {
-            if now <= linger.expired_at || self.holders.get(&id).is_some_and(|h| h.open) {
+            if counted_after <= linger.expired_at || self.holders.get(&id).is_some_and(|h| h.open) {
                 continue;
             }
             match running.get(&id) {
@@ -582,7 +611,7 @@
                     expired_at: now,
                     until: now + with_clock_margin(self.run_limit),
                 };
-                self.lingering.entry(id).or_insert(linger);
+                self.lingering.insert(id, linger);
             }
         }
         host.clear();
--- a/src/http/platform.rs
+++ b/src/http/platform.rs
@@ -12,9 +12,9 @@
 use super::App;
 use super::headers::bearer;
 use super::reply::{Refused, json};
-use crate::core::control::{Query, Target};
+use crate::core::control::{Answer, Query, Target};
 use crate::core::gate::Announcement;
-use crate::core::office::Heartbeat;
+use crate::core::office::{Heartbeat, Seen};
 use crate::core::registry::InstanceId;
 use crate::error::{Error, Kind, Result};
 use crate::util::sha256;
@@ -43,23 +43,32 @@
     /// Requests that it runs, by the value of `X-Plantaincross-Sender`.
     #[serde(default)]
     pub running: Option<BTreeMap<String, u32>>,
+    /// `seen` of the latest answer to a heartbeat.
+    #[serde(default)]
+    pub seen: Option<String>,
 }
 
 /// Answer to an accepted heartbeat.
 #[derive(Debug, Serialize)]
 struct Accepted {
     accepted: bool,
+    /// To be repeated in the next heartbeat.
+    seen: String,
 }
 
 /// Takes an upstream's heartbeat.
 pub async fn announce(State(app): State<App>, headers: HeaderMap, body: String) -> Response {
     match accept(&app, &headers, &body).await {
-        Ok(()) => json(StatusCode::OK, &Accepted { accepted: true }),
+        Ok(seen) => {
+            let seen = seen.to_string();
+            let accepted = true;
+            json(StatusCode::OK, &Accepted { accepted, seen })
+        }
         Err(err) => Refused::from(err).into_response(),
     }
 }
 
-async fn accept(app: &App, headers: &HeaderMap, body: &str) -> Result<()> {
+async fn accept(app: &App, headers: &HeaderMap, body: &str) -> Result<Seen> {
     authorize(app, headers)?;
     let announce: Announce = parse(body)?;
     let view = app.node.traffic.view.load();
@@ -72,6 +81,7 @@
     let beat = Heartbeat {
         leaving: announce.leaving,
         running: announce.running.map(by_instance),
+        seen: announce.seen.map(|seen| seen.parse()).transpose()?,
         announcement: Announcement {
             name: announce.name,
             incarnation: announce.incarnation,
@@ -82,8 +92,10 @@
             connections: announce.connections,
         },
     };
-    app.node.ask(target, Query::Announce(beat)).await?;
-    Ok(())
+    match app.node.ask(target, Query::Announce(beat)).await? {
+        Answer::Heard(seen) => Ok(seen),
+        _ => Err(Kind::Internal.into()),
+    }
 }
 
 fn by_instance(running: BTreeMap<String, u32>) -> BTreeMap<InstanceId, u32> {
--- a/src/standin/upstream.rs
+++ b/src/standin/upstream.rs
@@ -78,6 +78,7 @@
     behaviour: Mutex<Behaviour>,
     leaving: Mutex<bool>,
     muted: Mutex<bool>,
+    seen: Mutex<Option<String>>,
     counts: bool,
     ledger: Mutex<Ledger>,
     token: CancellationToken,
@@ -127,6 +128,7 @@
             behaviour: Mutex::new(Behaviour::Echo),
             leaving: Mutex::new(false),
             muted: Mutex::new(false),
+            seen: Mutex::new(None),
             counts: plan.counts,
             ledger: Mutex::default(),
             token,
@@ -224,8 +226,9 @@
             let body = self.state.heartbeat();
             let accepted: Result<serde_json::Value> =
                 clients[at].call("POST", "/v1/upstreams", Some(&body)).await;
-            if let Err(err) = accepted {
-                log::debug!("{}: {err}", self.state.name);
+            match accepted {
+                Ok(answer) => self.state.see(&answer),
+                Err(err) => log::debug!("{}: {err}", self.state.name),
             }
         }
     }
@@ -246,10 +249,16 @@
         });
         if self.counts {
             body["running"] = serde_json::json!(ledger.by_sender);
+            body["seen"] = serde_json::json!(*self.seen.lock().expect("seen lock"));
         }
         body
     }
 
+    fn see(&self, answer: &serde_json::Value) {
+        let seen = answer["seen"].as_str().map(str::to_owned);
+        *self.seen.lock().expect("seen lock") = seen;
+    }
+
     fn count_connection(&self) {
         let mut ledger = self.ledger.lock().expect("ledger lock");
         ledger.connections += 1;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -210,6 +210,10 @@
     /// Whether the sender is stopping and wants nothing more.
     #[prost(bool, tag = "12")]
     pub leaving: bool,
+    /// Whether the opening balances contain idle units, which the sender may use
+    /// until its last allotment expires.
+    #[prost(bool, tag = "13")]
+    pub kept_idle: bool,
 }
 
 /// What an entry instance needs to know of an upstream.
--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -118,12 +118,7 @@
         for at in 0..cluster.hosts.len() {
             cluster.start(at);
         }
-        // The last host is a spare.
-        let voters = (1..=count).map(voter).collect();
-        let now = cluster.hosts[0].clock(cluster.time);
-        let founder = cluster.hosts[0].replica.as_mut().expect("started");
-        founder.found(now, voters);
-        cluster.settle(0);
+        // The last host is a spare; the first founds the group at its first tick.
         cluster
     }
 
@@ -183,7 +178,11 @@
 
     fn apply(&mut self, at: usize, entry: Entry) {
         let host = &mut self.hosts[at];
-        assert_eq!(entry.index, host.applied + 1, "entries are applied in order");
+        assert_eq!(
+            entry.index,
+            host.applied + 1,
+            "entries are applied in order"
+        );
         host.applied = entry.index;
         if let Some(known) = self.committed.get(&entry.index) {
             assert_eq!(*known, entry, "a committed entry never changes");
@@ -226,8 +225,13 @@
                 let top = if slow { 1_500_000 } else { 20_000 };
                 let delay = self.rng.random_range(500..top);
                 self.sent += 1;
-                self.network
-                    .insert((self.time + delay, self.sent), Raft { to, ..message.clone() });
+                self.network.insert(
+                    (self.time + delay, self.sent),
+                    Raft {
+                        to,
+                        ..message.clone()
+                    },
+                );
             }
         }
     }
@@ -276,12 +280,17 @@
             return;
         }
         let now = self.hosts[at].clock(self.time);
+        let founders = (1..self.hosts.len() as u64).map(voter).collect();
         let Some(replica) = &mut self.hosts[at].replica else {
             if self.rng.random_ratio(1, 60) {
                 self.start(at);
             }
             return;
         };
+        // The founder tries until its first entry is stored, as the driver does.
+        if at == 0 && replica.is_blank() {
+            replica.found(now, founders);
+        }
         replica.tick(now);
         if replica.is_leader() && self.rng.random_ratio(1, 4) {
             self.proposed += 1;
@@ -314,11 +323,7 @@
     // One host, one direction or two halves.
     fn partition(&mut self) {
         let ids: Vec<u64> = self.hosts.iter().map(|h| h.id).collect();
-        let side: Vec<u64> = ids
-            .iter()
-            .copied()
-            .filter(|_| self.rng.random())
-            .collect();
+        let side: Vec<u64> = ids.iter().copied().filter(|_| self.rng.random()).collect();
         let one_way = self.rng.random_ratio(1, 3);
         for &a in &side {
             for &b in ids.iter().filter(|b| !side.contains(b)) {
