--- a/src/cmd/local.rs
+++ b/src/cmd/local.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::net::TcpListener;
@@ -13,11 +14,12 @@
 use crate::client::Client;
 use crate::config::{Config, Source, merge, read_folder};
 use crate::core::control::Status;
+use crate::core::job::Size;
 use crate::error::{Error, Kind, Result};
 use crate::http::{GiveBody, operator_token};
 use crate::node::{self, Started};
 use crate::settings::Settings;
-use crate::standin::{Plan, Upstream};
+use crate::standin::{Plan, Upstream, worker};
 use crate::util::sha256;
 
 /// Longest wait for the cell to come up.
@@ -27,7 +29,11 @@
 /// Configuration of a cell that is started without a folder.
 const EXAMPLE: &str = include_str!("../../examples/local/10-local.ini");
 
-/// Starts a whole cell in this process, on loopback, with stand-ins for upstreams.
+/// Job in the printed example.
+const EXAMPLE_JOB: &str = r#"{"name":"nest","class":"batch","tasks":20,"run_ms":500,"size":{"cpu_milli":2000,"memory_mb":512}}"#;
+
+/// Starts a whole cell in this process, on loopback, with stand-ins for upstreams
+/// and workers.
 ///
 /// Runs until Ctrl-C or for the given time, stops gracefully and prints a summary.
 /// Takes about 50 MB and 3 s to come up.
@@ -45,6 +51,9 @@
     /// Upstreams in each zone
     #[arg(long, default_value_t = 3)]
     upstreams: usize,
+    /// Workers in each zone
+    #[arg(long, default_value_t = 4)]
+    workers: usize,
     /// Milliseconds that an upstream takes for one request
     #[arg(long, default_value_t = 20)]
     service_ms: u64,
@@ -85,6 +94,7 @@
     let mut operator = cell.operator(secret.as_bytes());
     let keys = prepare(&mut operator, &config, sources).await?;
     start_upstreams(&config, args, &cell.addresses, &stand_ins).await?;
+    let record = start_workers(&config, args, &cell.addresses, &stand_ins);
     wait_serving(&cell, &config, &keys).await?;
     introduce(&cell, &config, &keys, &data.path)?;
     let seconds = args.seconds.map(Duration::from_secs);
@@ -92,7 +102,8 @@
     let all: Vec<Status> = operator.call("GET", "/v1/status", None::<&()>).await?;
     cell.stop().await;
     stand_ins.cancel();
-    summarise(&all)
+    let record = record.lock().expect("record lock");
+    summarise(&all, &record)
 }
 
 /// The data folder of a local cell, removed at the end if it was made for it.
@@ -258,6 +269,34 @@
     Ok(())
 }
 
+fn start_workers(
+    config: &Config,
+    args: &Args,
+    entries: &[SocketAddr],
+    token: &CancellationToken,
+) -> Arc<Mutex<worker::Record>> {
+    let record: Arc<Mutex<worker::Record>> = Arc::default();
+    for zone in zones(config) {
+        for at in 0..args.workers {
+            let plan = worker::Plan {
+                name: format!("worker-{zone}-{at}"),
+                zone: zone.clone(),
+                rack: format!("rack-{}", at / 6),
+                size: Size {
+                    cpu_milli: 32_000,
+                    memory_mb: 128 << 10,
+                    accelerators: 0,
+                },
+                fails: false,
+            };
+            let record = Arc::clone(&record);
+            let worker = worker::run(plan, entries.to_vec(), None, record, token.child_token());
+            tokio::spawn(worker);
+        }
+    }
+    record
+}
+
 /// Waits until every entry instance has answered a request of every team's key.
 async fn wait_serving(cell: &Cell, config: &Config, keys: &BTreeMap<String, String>) -> Result<()> {
     let started = Instant::now();
@@ -308,6 +347,10 @@
             "curl -sS -X POST -H 'Authorization: Bearer {key}' -H 'Idempotency-Key: order-1' \
              -d '12 reams' http://{at}/v1/services/{service}/orders"
         ))?;
+        print(format_args!(
+            "curl -sS -X POST -H 'Authorization: Bearer {key}' -d '{EXAMPLE_JOB}' \
+             http://{at}/v1/jobs"
+        ))?;
     }
     Ok(())
 }
@@ -323,7 +366,7 @@
     Ok(())
 }
 
-fn summarise(all: &[Status]) -> Result<()> {
+fn summarise(all: &[Status], record: &worker::Record) -> Result<()> {
     let mut sums: BTreeMap<&str, u64> = BTreeMap::new();
     for stat in all.iter().flat_map(|s| &s.teams) {
         *sums.entry(&stat.team).or_default() += stat.completed;
@@ -332,5 +375,8 @@
     for (team, completed) in sums {
         print(format_args!("{team}: {completed} requests completed"))?;
     }
-    Ok(())
+    print(format_args!(
+        "{} tasks started, {} ended, {} at most in one place",
+        record.started, record.ended, record.most
+    ))
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -17,6 +17,7 @@
 pub mod daemon;
 pub mod diff;
 pub mod history;
+pub mod job;
 pub mod key;
 pub mod local;
 pub mod push;
@@ -42,6 +43,7 @@
     Check(check::Args),
     Diff(diff::Args),
     History(history::Args),
+    Job(job::Args),
     Key(key::Args),
     Local(local::Args),
     Push(push::Args),
@@ -86,6 +88,7 @@
         Command::Check(args) => check::run(&args),
         Command::Diff(args) => diff::run(&args),
         Command::History(args) => history::run(&args),
+        Command::Job(args) => job::run(&args),
         Command::Key(args) => key::run(&args),
         Command::Local(args) => local::run(&args),
         Command::Push(args) => push::run(&args),
--- a/src/core/control/mod.rs
+++ b/src/core/control/mod.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod query;
 mod root;
+mod tasks;
 mod zone;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,13 +13,16 @@
 
 use bytes::Bytes;
 
-pub use query::{Answer, PeerStatus, Query, Status, Target};
+pub use query::{Answer, PeerStatus, Query, Status, Target, UpstreamStat};
+pub use tasks::JobLine;
 
 use crate::core::agent::Agent;
 use crate::core::claim;
 use crate::core::consensus::{Ready, Replica, Stored};
+use crate::core::fleet::Fleet;
 use crate::core::freshness::Tracker;
 use crate::core::gate::Gate;
+use crate::core::job::{Ended, Task};
 use crate::core::lease::{Register, Seat};
 use crate::core::office::Office;
 use crate::core::registry::{Command, InstanceId, Member, Outcome, Registry};
@@ -31,6 +35,8 @@
 const PING_EVERY: Duration = Duration::from_millis(500);
 /// A peer that was silent for this long is taken to be gone.
 pub const PEER_SILENCE_MAX: Duration = Duration::from_millis(2_500);
+/// Interval at which withdrawals are proposed until they are committed.
+const WITHDRAW_EVERY: Duration = Duration::from_secs(1);
 /// A question is given up after this long.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Bytes of log after which a snapshot is made.
@@ -148,6 +154,12 @@
     seat: Seat,
     agent: Agent,
     office: Option<Office>,
+    fleet: Option<Fleet>,
+    polls: BTreeMap<String, Pending>,
+    ends: BTreeMap<Task, Ended>,
+    ends_at: Moment,
+    jobs_seen: u64,
+    withdraw_at: Moment,
     register: Register,
     root_term: Option<u64>,
     acting: bool,
@@ -188,6 +200,12 @@
             seat: Seat::new(member, now),
             agent: Agent::new(me.zone.clone()),
             office: None,
+            fleet: None,
+            polls: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            ends_at: now,
+            jobs_seen: u64::MAX,
+            withdraw_at: now,
             register: Register::default(),
             root_term: None,
             acting: false,
@@ -327,6 +345,8 @@
         self.tick_root(now);
         self.tick_zone(now);
         self.tick_claims(now);
+        self.tick_tasks(now);
+        self.repeat_withdrawals(now);
         self.report(now);
     }
 
@@ -522,6 +542,29 @@
         self.effects.push(Effect::Publish);
     }
 
+    // A withdrawal that was heard of is proposed until the registry holds it.
+    fn repeat_withdrawals(&mut self, now: Moment) {
+        if now < self.withdraw_at {
+            return;
+        }
+        self.withdraw_at = now + WITHDRAW_EVERY;
+        let open: Vec<String> = self
+            .tombstones
+            .iter()
+            .filter(|id| {
+                self.registry
+                    .keys
+                    .get(*id)
+                    .is_some_and(|key| !key.withdrawn)
+            })
+            .cloned()
+            .collect();
+        for id in open {
+            let query = Query::Propose(Command::WithdrawKey { id });
+            self.route(now, root::NOBODY, &Target::Root, query);
+        }
+    }
+
     fn peer_ids(&self) -> Vec<InstanceId> {
         self.peers.keys().copied().collect()
     }
--- a/src/core/control/query.rs
+++ b/src/core/control/query.rs
@@ -2,9 +2,12 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::tasks::JobLine;
 use super::{Control, Origin};
 use crate::core::claim;
+use crate::core::fleet;
 use crate::core::gate::TeamStat;
+use crate::core::job::{self, Job, Spec};
 use crate::core::office::{Heartbeat, Seen};
 use crate::core::registry::{Command, InstanceId, Outcome, Push};
 use crate::core::time::Moment;
@@ -46,6 +49,16 @@
     Copy(claim::Batch),
     /// Return all copies of claims of a zone.
     Fetch(String),
+    /// Take a worker's poll.
+    Poll(Box<fleet::Poll>),
+    /// Tell whether a job of this kind can run in the zone.
+    Admit(Box<Spec>),
+    /// Return a job and where its tasks stand.
+    Job(job::Id),
+    /// List the jobs of a team, or all.
+    Jobs(Option<String>),
+    /// Explain why a job's tasks wait.
+    Explain(job::Id),
     /// Name a new leader for a zone whose roster is silent.
     Replace(String),
 }
@@ -69,6 +82,21 @@
     Verdict(claim::Verdict),
     /// Copies of claims.
     Copies(claim::Batch),
+    /// Orders to a worker.
+    Orders(Box<fleet::Orders>),
+    /// Whether a job can run in the zone: why not, or how much is free.
+    Admission {
+        /// Why it can never run there.
+        misfit: Option<String>,
+        /// Free part of the zone, in thousandths.
+        free_milli: u64,
+    },
+    /// A job.
+    Job(Box<Job>),
+    /// Jobs, newest first.
+    Jobs(Vec<JobLine>),
+    /// Why a job's tasks wait.
+    Explanation(fleet::Explanation),
     /// It failed.
     Failed(Error),
 }
@@ -113,6 +141,24 @@
     pub peers: Vec<PeerStatus>,
     /// Figures of teams at its gate.
     pub teams: Vec<TeamStat>,
+    /// Workers of its zone, if it leads it.
+    pub workers: Vec<fleet::WorkerStat>,
+    /// Upstreams of its zone, if it leads it: name, slots, slots allotted.
+    pub upstreams: Vec<UpstreamStat>,
+}
+
+/// An upstream as its zone leader sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamStat {
+    /// Name.
+    pub name: String,
+    /// Slots.
+    pub slots: u64,
+    /// Slots allotted to entry instances.
+    pub allotted: u64,
+    /// Whether it gets nothing new.
+    pub leaving: bool,
 }
 
 impl Control {
@@ -182,6 +228,23 @@
                 let batch = self.copies_of(now, &zone);
                 self.answer(now, origin, Answer::Copies(batch));
             }
+            Query::Poll(poll) => self.take_poll(now, origin, &poll),
+            Query::Admit(spec) => {
+                let answer = self.admit(now, &spec);
+                self.answer(now, origin, answer);
+            }
+            Query::Job(id) => {
+                let answer = self.job(id);
+                self.answer(now, origin, answer);
+            }
+            Query::Jobs(team) => {
+                let answer = self.list_jobs(team.as_deref());
+                self.answer(now, origin, answer);
+            }
+            Query::Explain(id) => {
+                let answer = self.explain(now, id);
+                self.answer(now, origin, answer);
+            }
             Query::Replace(zone) => self.replace_zone(now, origin, &zone),
         }
     }
@@ -246,6 +309,23 @@
                 })
                 .collect(),
             teams: gate.team_stats(),
+            workers: self
+                .fleet
+                .iter()
+                .flat_map(|f| f.workers())
+                .map(fleet::Worker::stat)
+                .collect(),
+            upstreams: self
+                .office
+                .iter()
+                .flat_map(|o| o.hosts())
+                .map(|host| UpstreamStat {
+                    name: host.announcement().name.clone(),
+                    slots: host.issuer().capacity(),
+                    allotted: host.issuer().outstanding(),
+                    leaving: host.is_leaving(),
+                })
+                .collect(),
         }
     }
 }
--- /dev/null
+++ b/src/core/control/tasks.rs
@@ -0,0 +1,249 @@
+//! The task plane at the zone leader: jobs in, orders to workers out.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::root::NOBODY;
+use super::{Answer, Control, Effect, Origin, Pending, Query, Target};
+use crate::core::fleet::{Fleet, POLL_WAIT_MAX, Poll};
+use crate::core::job::{Ended, Id, Spec, State};
+use crate::core::registry::Command;
+use crate::core::time::Moment;
+use crate::error::{Error, Kind};
+use crate::event::Event;
+
+/// Interval at which ends are proposed until the registry holds them.
+const ENDS_EVERY: Duration = Duration::from_secs(1);
+/// Ends in one command.
+const ENDS_MAX: usize = 2_000;
+/// Jobs in one list.
+const LIST_MAX: usize = 1_000;
+
+/// A job in a list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobLine {
+    /// Job.
+    pub id: Id,
+    /// Team.
+    pub team: String,
+    /// Name.
+    pub name: String,
+    /// Zone.
+    pub zone: String,
+    /// Where it stands.
+    pub state: State,
+    /// Tasks.
+    pub tasks: u32,
+    /// Tasks that ended well.
+    pub ended: u32,
+}
+
+impl Control {
+    pub(super) fn tick_tasks(&mut self, now: Moment) {
+        if !self.seat.may_act(now) || self.fleet.is_none() {
+            return;
+        }
+        self.sync_jobs(now);
+        self.supply_units(now);
+        let Some(fleet) = &mut self.fleet else {
+            return;
+        };
+        fleet.tick(now);
+        self.collect(now);
+        self.answer_polls(now);
+    }
+
+    /// Brings the task plane up to date with the registry's jobs.
+    fn sync_jobs(&mut self, now: Moment) {
+        let changes = self.registry.jobs.changes();
+        let Some(fleet) = &mut self.fleet else {
+            return;
+        };
+        if changes == self.jobs_seen {
+            return;
+        }
+        self.jobs_seen = changes;
+        let zone = &self.me.zone;
+        for job in self.registry.jobs.open().filter(|job| job.zone == *zone) {
+            fleet.add_job(now, job);
+        }
+        let known: Vec<Id> = fleet.job_ids().collect();
+        for id in known {
+            let job = self.registry.jobs.get(id);
+            if job.is_none_or(|job| job.state != State::Open) {
+                let state = job.map_or_else(|| "forgotten".to_owned(), |j| j.state.to_string());
+                fleet.drop_job(now, id);
+                let event = Event::JobEnded { job: id.0, state };
+                self.effects.push(Effect::Event(event));
+            }
+        }
+        let jobs = &self.registry.jobs;
+        self.ends.retain(|task, _| {
+            let is_open = jobs
+                .get(task.job)
+                .is_some_and(|job| job.state == State::Open && !job.has_ended(task.index));
+            if !is_open {
+                fleet.confirm_end(*task);
+            }
+            is_open
+        });
+    }
+
+    // Moves units of team limits between the zone leader's accounts and the tasks.
+    fn supply_units(&mut self, now: Moment) {
+        let (Some(office), Some(fleet)) = (&mut self.office, &mut self.fleet) else {
+            return;
+        };
+        for team in fleet.take_adopted() {
+            office.adopt_units(&team, 1);
+        }
+        for (team, units) in fleet.return_stock() {
+            office.put_units(&team, units);
+        }
+        for (team, wanted) in fleet.wanted_units() {
+            let units = office.take_units(now, &team, wanted);
+            fleet.add_units(&team, units, wanted);
+        }
+    }
+
+    fn collect(&mut self, now: Moment) {
+        let (Some(office), Some(fleet)) = (&mut self.office, &mut self.fleet) else {
+            return;
+        };
+        for (team, units) in fleet.return_stock() {
+            office.put_units(&team, units);
+        }
+        let new = fleet.take_ended();
+        let events = fleet.take_events();
+        self.effects.extend(events.into_iter().map(Effect::Event));
+        let repeat = now >= self.ends_at;
+        let mut batch: Vec<Ended> = new.clone();
+        if repeat {
+            self.ends_at = now + ENDS_EVERY;
+            batch.extend(self.ends.values().cloned());
+        }
+        self.ends.extend(new.into_iter().map(|end| (end.task, end)));
+        for part in batch.chunks(ENDS_MAX) {
+            let query = Query::Propose(Command::End(part.to_vec()));
+            self.route(now, NOBODY, &Target::Root, query);
+        }
+    }
+
+    pub(super) fn take_poll(&mut self, now: Moment, origin: Origin, poll: &Poll) {
+        let refused = if !self.seat.may_act(now) || poll.zone != self.me.zone {
+            let message = "this instance does not lead the worker's zone now";
+            Some(Error::new(Kind::NoQuorum, message))
+        } else {
+            match &mut self.fleet {
+                Some(fleet) => fleet.poll(now, poll).err(),
+                None => Some(Error::from(Kind::NoQuorum)),
+            }
+        };
+        if let Some(err) = refused {
+            self.answer(now, origin, Answer::Failed(err));
+            return;
+        }
+        let wait = Duration::from_millis(poll.wait_ms).min(POLL_WAIT_MAX);
+        let until = now + wait;
+        let pending = Pending { origin, until };
+        if let Some(old) = self.polls.insert(poll.name.clone(), pending) {
+            let err = Error::new(Kind::BadAnnouncement, "the worker has polled again");
+            self.answer(now, old.origin, Answer::Failed(err));
+        }
+        // Ends and freed room are acted on at once.
+        self.tick_tasks(now);
+        self.answer_poll(now, &poll.name);
+    }
+
+    fn answer_polls(&mut self, now: Moment) {
+        let Some(fleet) = &mut self.fleet else {
+            return;
+        };
+        let mut due = fleet.take_woken();
+        let waiting = self.polls.iter().filter(|(_, p)| now >= p.until);
+        due.extend(waiting.map(|(name, _)| name.clone()));
+        for name in due {
+            self.answer_poll(now, &name);
+        }
+    }
+
+    fn answer_poll(&mut self, now: Moment, name: &str) {
+        let (Some(fleet), Some(pending)) = (&mut self.fleet, self.polls.get(name)) else {
+            return;
+        };
+        let (origin, force) = (pending.origin, now >= pending.until);
+        if let Some(orders) = fleet.orders(now, name, force) {
+            self.polls.remove(name);
+            self.answer(now, origin, Answer::Orders(Box::new(orders)));
+        }
+    }
+
+    /// Ends the task plane when another instance leads the zone.
+    pub(super) fn close_fleet(&mut self, now: Moment) {
+        self.fleet = None;
+        self.ends.clear();
+        for pending in std::mem::take(&mut self.polls).into_values() {
+            let err = Error::new(Kind::NoQuorum, "the zone has a new leader");
+            self.answer(now, pending.origin, Answer::Failed(err));
+        }
+    }
+
+    pub(super) fn admit(&self, now: Moment, spec: &Spec) -> Answer {
+        let Some(fleet) = self.fleet.as_ref().filter(|_| self.seat.may_act(now)) else {
+            return Answer::Failed(Error::from(Kind::NoQuorum));
+        };
+        Answer::Admission {
+            misfit: fleet.misfit(spec),
+            free_milli: free_milli(fleet),
+        }
+    }
+
+    pub(super) fn job(&self, id: Id) -> Answer {
+        match self.registry.jobs.get(id) {
+            Some(job) => Answer::Job(Box::new(job.clone())),
+            None => Answer::Failed(Error::new(Kind::NotFound, format!("no job {id}"))),
+        }
+    }
+
+    pub(super) fn list_jobs(&self, team: Option<&str>) -> Answer {
+        let jobs: Vec<JobLine> = self
+            .registry
+            .jobs
+            .iter()
+            .rev()
+            .filter(|job| team.is_none_or(|team| team == job.team))
+            .take(LIST_MAX)
+            .map(|job| JobLine {
+                id: job.id,
+                team: job.team.clone(),
+                name: job.spec.name.clone(),
+                zone: job.zone.clone(),
+                state: job.state.clone(),
+                tasks: job.spec.tasks,
+                ended: job.ended_count(),
+            })
+            .collect();
+        Answer::Jobs(jobs)
+    }
+
+    pub(super) fn explain(&self, now: Moment, id: Id) -> Answer {
+        let explained = self.fleet.as_ref().and_then(|f| f.explain(now, id));
+        match explained {
+            Some(explanation) => Answer::Explanation(explanation),
+            None => Answer::Failed(Error::new(Kind::NotFound, format!("no open job {id} here"))),
+        }
+    }
+}
+
+fn free_milli(fleet: &Fleet) -> u64 {
+    let total = fleet.total();
+    let reserved = fleet
+        .workers()
+        .filter(|w| w.is_up())
+        .fold(crate::core::job::Size::default(), |sum, w| {
+            sum.plus(w.reserved)
+        });
+    1_000 - (reserved.dominant_of(total).min(1.0) * 1_000.0) as u64
+}
--- a/src/core/control/zone.rs
+++ b/src/core/control/zone.rs
@@ -5,6 +5,7 @@
 use super::root::{NOBODY, Want, ZoneWants};
 use super::{Answer, Control, Effect, Origin, Query, Target};
 use crate::core::claim;
+use crate::core::fleet::Fleet;
 use crate::core::lease::Action;
 use crate::core::office::{Heartbeat, Office, Seen, UnitDemand};
 use crate::core::registry::InstanceId;
@@ -128,9 +129,12 @@
             let run_limit = self.longest_run();
             let office = Office::new(self.me.zone.clone(), led.term, first, now, run_limit);
             self.office = Some(office);
+            self.fleet = Some(Fleet::new(led.term, first, now));
+            self.jobs_seen = u64::MAX;
             self.recover_claims(now, before.as_ref());
         } else if led.leader != self.me.id {
             self.office = None;
+            self.close_fleet(now);
         } else if let Some(office) = &mut self.office {
             office.set_term(led.term);
         }
@@ -157,6 +161,9 @@
             let account = issuer.account(zone);
             office.set_units(team, share, account.given, account.returned);
         }
+        if let Some(fleet) = &mut self.fleet {
+            fleet.configure(&self.registry.config);
+        }
     }
 
     fn settle_authority(&mut self, now: Moment) {
@@ -183,7 +190,10 @@
             return;
         };
         office.return_owed(now);
-        let demands = office.unit_demands(&std::collections::BTreeMap::new());
+        if let Some(fleet) = &self.fleet {
+            office.set_task_demands(&fleet.unit_demands());
+        }
+        let demands = office.unit_demands();
         let is_pressing = |d: &UnitDemand| d.demand > d.capacity;
         let every = if demands.iter().any(is_pressing) {
             WANTS_PRESSING_EVERY
--- /dev/null
+++ b/src/core/fleet/mod.rs
@@ -0,0 +1,468 @@
+//! The task plane of one zone: workers, leases, and which task runs where.
+
+mod estimate;
+mod explain;
+mod gang;
+mod health;
+mod index;
+mod job;
+mod place;
+mod poll;
+mod relief;
+mod worker;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+pub use explain::{Explanation, Reason};
+pub use poll::{EndReport, How, Orders, Poll, RunReport, Start, Stop};
+pub use worker::{Worker, WorkerStat};
+
+use crate::config::{Config, Order, Policy};
+use crate::core::job::{Class, Ended, Id, Job, Size, Spec, Task};
+use crate::core::time::{Moment, with_clock_margin};
+use crate::event::Event;
+use estimate::Estimates;
+use gang::Hold;
+use index::Index;
+use job::JobState;
+
+/// Term of a worker's lease on the worker's clock. A worker ends its tasks when it
+/// runs out.
+pub const WORKER_LEASE: Duration = Duration::from_secs(6);
+/// Longest time that a poll waits for orders.
+pub const POLL_WAIT_MAX: Duration = Duration::from_secs(2);
+/// Lost tasks that may be placed anew for each tick.
+const REPLACE_PER_TICK: usize = 10;
+/// Placements in one tick, which bounds the time it takes.
+const PLACE_PER_TICK: usize = 256;
+/// Half-life of a team's recorded usage.
+const USAGE_HALF_LIFE: Duration = Duration::from_secs(60);
+
+/// Addresses a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WorkerKey(pub u32);
+
+/// Standing of one team.
+#[derive(Clone, Debug, Default)]
+struct Team {
+    share: u32,
+    stock: u64,
+    running: Size,
+    usage: f64,
+    usage_at: Moment,
+    score: u64,
+    waiting: BTreeSet<(job::Rank, Id)>,
+}
+
+/// Tasks and workers of one zone, at its leader.
+#[derive(Debug)]
+pub struct Fleet {
+    term: u64,
+    settled_at: Moment,
+    next_attempt: u64,
+    workers: Vec<Worker>,
+    names: HashMap<String, WorkerKey>,
+    racks: HashMap<String, u32>,
+    index: Index,
+    jobs: BTreeMap<Id, JobState>,
+    teams: BTreeMap<String, Team>,
+    order: BTreeSet<(u64, String)>,
+    urgent: BTreeSet<(job::Rank, Id)>,
+    gangs: BTreeSet<(job::Rank, Id)>,
+    hold: Option<Hold>,
+    lost: BTreeSet<(job::Rank, Task)>,
+    estimates: Estimates,
+    queues: BTreeMap<String, Policy>,
+    policy: Order,
+    total: Size,
+    ended: Vec<Ended>,
+    acks: HashMap<Task, (WorkerKey, u64)>,
+    woken: BTreeSet<WorkerKey>,
+    events: Vec<Event>,
+    failures: health::Rate,
+    adopted_units: Vec<String>,
+    starved: BTreeSet<String>,
+}
+
+impl Fleet {
+    /// Makes the task plane of a leader that takes office at `now`. Unless it is
+    /// the zone's `first`, tasks of a predecessor may run until their leases end.
+    pub fn new(term: u64, first: bool, now: Moment) -> Self {
+        let settled_at = if first {
+            now
+        } else {
+            now + with_clock_margin(WORKER_LEASE)
+        };
+        Self {
+            term,
+            settled_at,
+            next_attempt: 0,
+            workers: Vec::new(),
+            names: HashMap::new(),
+            racks: HashMap::new(),
+            index: Index::default(),
+            jobs: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            order: BTreeSet::new(),
+            urgent: BTreeSet::new(),
+            gangs: BTreeSet::new(),
+            hold: None,
+            lost: BTreeSet::new(),
+            estimates: Estimates::default(),
+            queues: BTreeMap::new(),
+            policy: Order::Share,
+            total: Size::default(),
+            ended: Vec::new(),
+            acks: HashMap::new(),
+            woken: BTreeSet::new(),
+            events: Vec::new(),
+            failures: health::Rate::default(),
+            adopted_units: Vec::new(),
+            starved: BTreeSet::new(),
+        }
+    }
+
+    /// Takes the configuration in force.
+    pub fn configure(&mut self, config: &Config) {
+        self.policy = config.cell.order;
+        self.queues = config
+            .queues
+            .iter()
+            .map(|(name, queue)| (name.clone(), queue.policy))
+            .collect();
+        for (name, team) in &config.teams {
+            self.team_mut(name).share = team.share;
+        }
+    }
+
+    /// Takes an open job of this zone, if it is new.
+    pub fn add_job(&mut self, now: Moment, job: &Job) {
+        if self.jobs.contains_key(&job.id) {
+            return;
+        }
+        let unsettled = now < self.settled_at;
+        let mut state = JobState::new(now, job, &mut self.estimates);
+        let tasks: Vec<u32> = job.open_tasks().map(|task| task.index).collect();
+        if unsettled {
+            state.unsettled = tasks.into_iter().collect();
+        } else {
+            state.waiting = tasks.into_iter().collect();
+        }
+        let id = job.id;
+        self.jobs.insert(id, state);
+        self.enlist(id);
+    }
+
+    /// Ends a job that is no longer open: its tasks are told to stop.
+    pub fn drop_job(&mut self, now: Moment, id: Id) {
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        self.delist(id, &job);
+        if self.hold.as_ref().is_some_and(|hold| hold.job == id) {
+            self.release_hold();
+        }
+        for index in job.placed.keys() {
+            let task = Task {
+                job: id,
+                index: *index,
+            };
+            self.stop_task(now, &job, task);
+        }
+    }
+
+    fn stop_task(&mut self, now: Moment, job: &JobState, task: Task) {
+        let placement = &job.placed[&task.index];
+        let key = placement.worker;
+        let worker = &mut self.workers[key.0 as usize];
+        if worker.held.remove(&task).is_some() {
+            // It was never ordered to start.
+            worker.tasks.remove(&task);
+            self.refresh(key);
+            let size = placement.size;
+            self.charge(now, &job.team, |running| running.minus(size));
+            self.return_unit(&job.team);
+            return;
+        }
+        worker.order_stop(task, placement.attempt, How::Stop);
+        worker
+            .orphans
+            .insert(task, (job.team.clone(), placement.size));
+        self.woken.insert(key);
+    }
+
+    /// Returns the identities of all jobs.
+    pub fn job_ids(&self) -> impl Iterator<Item = Id> {
+        self.jobs.keys().copied()
+    }
+
+    /// Records that the registry holds the end of a task; its worker may forget it.
+    pub fn confirm_end(&mut self, task: Task) {
+        if let Some((key, attempt)) = self.acks.remove(&task) {
+            let worker = &mut self.workers[key.0 as usize];
+            worker.acks.push((task, attempt));
+            self.woken.insert(key);
+        }
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.ending.remove(&task.index);
+        }
+    }
+
+    /// Returns ended tasks that the registry is to record.
+    pub fn take_ended(&mut self) -> Vec<Ended> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// Returns workers that have new orders since the last call.
+    pub fn take_woken(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.woken)
+            .into_iter()
+            .map(|key| self.workers[key.0 as usize].name.clone())
+            .collect()
+    }
+
+    /// Returns the events since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Returns the units that each team could use for waiting tasks, beside those
+    /// in stock, and those that its running tasks use.
+    pub fn unit_demands(&self) -> BTreeMap<String, u64> {
+        let mut demands: BTreeMap<String, u64> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let units = job.waiting.len() + job.placed.len();
+            *demands.entry(job.team.clone()).or_default() += units as u64;
+        }
+        demands
+    }
+
+    /// Returns how many units each team lacks for its waiting tasks.
+    pub fn wanted_units(&self) -> Vec<(String, u64)> {
+        let mut wanted: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| !job.waiting.is_empty()) {
+            let (units, largest) = wanted.entry(&job.team).or_default();
+            let waiting = job.waiting.len() as u64;
+            *units += waiting;
+            if job.spec.class == Class::AllAtOnce {
+                *largest = waiting.max(*largest);
+            }
+        }
+        wanted
+            .into_iter()
+            .filter_map(|(team, (units, largest))| {
+                let stock = self.teams.get(team).map_or(0, |t| t.stock);
+                let useful = PLACE_PER_TICK as u64 + largest;
+                let lack = units.min(useful).saturating_sub(stock);
+                (lack > 0).then(|| (team.to_owned(), lack))
+            })
+            .collect()
+    }
+
+    /// Adds units of a team's limit to the stock; `wanted` were asked for.
+    pub fn add_units(&mut self, team: &str, units: u64, wanted: u64) {
+        let state = self.team_mut(team);
+        state.stock += units;
+        if state.stock == 0 && wanted > 0 {
+            self.starved.insert(team.to_owned());
+        } else {
+            self.starved.remove(team);
+        }
+    }
+
+    /// Returns the teams of tasks that were found running since the last call, once
+    /// for each task.
+    pub fn take_adopted(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.adopted_units)
+    }
+
+    /// Takes all units out of the stock that no hold needs.
+    pub fn return_stock(&mut self) -> Vec<(String, u64)> {
+        self.teams
+            .iter_mut()
+            .filter(|(_, team)| team.stock > 0)
+            .map(|(name, team)| (name.clone(), std::mem::take(&mut team.stock)))
+            .collect()
+    }
+
+    /// Lets time pass: leases end, and waiting tasks are placed.
+    pub fn tick(&mut self, now: Moment) {
+        self.expire_leases(now);
+        self.settle_unsettled(now);
+        self.requeue_lost();
+        self.place_waiting(now);
+    }
+
+    /// Returns the total size of all workers.
+    pub const fn total(&self) -> Size {
+        self.total
+    }
+
+    /// Returns all workers.
+    pub fn workers(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.iter()
+    }
+
+    /// Returns how many tasks run and how many wait.
+    pub fn counts(&self) -> (usize, usize) {
+        self.jobs.values().fold((0, 0), |(running, waiting), job| {
+            (running + job.placed.len(), waiting + job.waiting.len())
+        })
+    }
+
+    /// Returns each team's dominant share of the zone that its tasks use now.
+    pub fn dominant_shares(&self) -> BTreeMap<String, f64> {
+        self.teams
+            .iter()
+            .map(|(name, team)| (name.clone(), team.running.dominant_of(self.total)))
+            .collect()
+    }
+
+    /// Says why a job of this size can never run here, if so.
+    pub fn misfit(&self, spec: &Spec) -> Option<String> {
+        let largest = self
+            .workers
+            .iter()
+            .filter(|w| w.is_up())
+            .fold(Size::default(), |size, w| size.max(w.total));
+        let need = spec.size;
+        let lacks = [
+            ("processor", need.cpu_milli > largest.cpu_milli),
+            ("memory", need.memory_mb > largest.memory_mb),
+            ("accelerators", need.accelerators > largest.accelerators),
+        ];
+        if let Some((dimension, _)) = lacks.iter().find(|(_, lack)| *lack) {
+            return Some(format!("no worker has that much of: {dimension}"));
+        }
+        let fits = self.workers.iter().any(|w| w.is_up() && w.total.fits(need));
+        if !fits {
+            return Some("no worker has that much of all dimensions together".to_owned());
+        }
+        if spec.class == Class::AllAtOnce {
+            let capacity: u64 = self
+                .workers
+                .iter()
+                .filter(|w| w.is_up())
+                .map(|w| w.times_fits(need))
+                .sum();
+            if capacity < u64::from(spec.tasks) {
+                return Some(format!(
+                    "only {capacity} of {} tasks fit at once",
+                    spec.tasks
+                ));
+            }
+        }
+        None
+    }
+
+    fn team_mut(&mut self, name: &str) -> &mut Team {
+        if !self.teams.contains_key(name) {
+            let team = Team {
+                share: 1,
+                ..Team::default()
+            };
+            self.teams.insert(name.to_owned(), team);
+        }
+        self.teams.get_mut(name).expect("just inserted")
+    }
+
+    fn return_unit(&mut self, team: &str) {
+        self.team_mut(team).stock += 1;
+    }
+
+    // Brings the free-capacity index up to date with one worker.
+    fn refresh(&mut self, key: WorkerKey) {
+        let worker = &mut self.workers[key.0 as usize];
+        let free = worker.is_open().then(|| worker.free());
+        self.index.set(key, free);
+    }
+
+    // Puts a job with waiting tasks into the queues that placement looks at.
+    fn enlist(&mut self, id: Id) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if job.waiting.is_empty() {
+            return;
+        }
+        let entry = (job.rank, id);
+        if job.spec.class == Class::AllAtOnce {
+            self.gangs.insert(entry);
+        } else if job.spec.urgent {
+            self.urgent.insert(entry);
+        } else {
+            let team = job.team.clone();
+            let team_state = self.team_mut(&team);
+            team_state.waiting.insert(entry);
+            let score = team_state.score;
+            self.order.insert((score, team));
+        }
+    }
+
+    fn delist(&mut self, id: Id, job: &JobState) {
+        let entry = (job.rank, id);
+        self.gangs.remove(&entry);
+        self.urgent.remove(&entry);
+        if let Some(team) = self.teams.get_mut(&job.team) {
+            team.waiting.remove(&entry);
+            if team.waiting.is_empty() {
+                self.order.remove(&(team.score, job.team.clone()));
+            }
+        }
+    }
+
+    // Changes what a team runs and its place in the order of teams.
+    fn charge(&mut self, now: Moment, name: &str, change: impl FnOnce(Size) -> Size) {
+        let total = self.total;
+        let team = self.team_mut(name);
+        let elapsed = now.since(team.usage_at).as_secs_f64();
+        let keep = 0.5f64.powf(elapsed / USAGE_HALF_LIFE.as_secs_f64());
+        let now_running = team.running.dominant_of(total);
+        team.usage = team.usage * keep + now_running * (1.0 - keep);
+        team.usage_at = now;
+        team.running = change(team.running);
+        let level = (team.running.dominant_of(total) + team.usage) / f64::from(team.share.max(1));
+        let old = team.score;
+        // Positive floats keep their order as bits.
+        team.score = level.max(0.0).to_bits();
+        let score = team.score;
+        if self.order.remove(&(old, name.to_owned())) {
+            self.order.insert((score, name.to_owned()));
+        }
+    }
+
+    fn requeue_lost(&mut self) {
+        for _ in 0..REPLACE_PER_TICK {
+            let Some((_, task)) = self.lost.pop_first() else {
+                return;
+            };
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                job.waiting.insert(task.index);
+                self.enlist(task.job);
+            }
+        }
+    }
+
+    // Tasks that no worker has reported by the end of the old leases run nowhere.
+    fn settle_unsettled(&mut self, now: Moment) {
+        if now < self.settled_at {
+            return;
+        }
+        let ids: Vec<Id> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.unsettled.is_empty())
+            .map(|(&id, _)| id)
+            .collect();
+        for id in ids {
+            let job = self.jobs.get_mut(&id).expect("listed job");
+            if job.spec.unreachable == crate::core::job::Unreachable::Keep {
+                continue;
+            }
+            let tasks = std::mem::take(&mut job.unsettled);
+            job.waiting.extend(tasks);
+            self.enlist(id);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/fleet/poll.rs
@@ -0,0 +1,485 @@
+//! What workers report and what they are ordered to do.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::worker::Worker;
+use super::{Fleet, WORKER_LEASE, WorkerKey};
+use crate::config::is_name;
+use crate::core::job::{Ended, Size, Task, Unreachable};
+use crate::core::time::{Moment, with_clock_margin};
+use crate::error::{Error, Kind, Result};
+use crate::event::Event;
+
+/// First pause of a job whose tasks fail again and again.
+const BACKOFF_BASE: Duration = Duration::from_secs(1);
+/// Longest such pause.
+const BACKOFF_CAP: Duration = Duration::from_secs(300);
+/// Failures in a row before a job is paused.
+const FAILURES_FREE: u32 = 3;
+
+/// A worker's poll: what it runs, what ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Poll {
+    /// Name.
+    pub name: String,
+    /// Number that rises with each restart.
+    pub incarnation: u64,
+    /// Availability zone.
+    pub zone: String,
+    /// Rack.
+    pub rack: String,
+    /// What it has.
+    pub size: Size,
+    /// Number of this poll; rises by one.
+    pub number: u64,
+    /// Number of the latest answer that it has carried out.
+    pub seen: u64,
+    /// Everything that it runs.
+    pub running: Vec<RunReport>,
+    /// Tasks that ended and were not acknowledged yet.
+    pub ended: Vec<EndReport>,
+    /// Longest wait for orders, in milliseconds.
+    #[serde(default)]
+    pub wait_ms: u64,
+}
+
+/// A running task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RunReport {
+    /// Task.
+    pub task: Task,
+    /// Number of its run.
+    pub attempt: u64,
+    /// What it uses, if measured.
+    #[serde(default)]
+    pub used: Option<Size>,
+}
+
+/// An ended task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndReport {
+    /// Task.
+    pub task: Task,
+    /// Number of its run.
+    pub attempt: u64,
+    /// Whether it ended well.
+    pub ok: bool,
+    /// Whether it was checkpointed or stopped on order.
+    #[serde(default)]
+    pub evicted: bool,
+}
+
+/// How a task is made to use less.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum How {
+    /// It ends at once.
+    Stop,
+    /// It saves its state and ends.
+    Checkpoint,
+    /// It goes on with no more processors than reserved.
+    Throttle,
+}
+
+/// Order to start a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Start {
+    /// Task.
+    pub task: Task,
+    /// Number of this run.
+    pub attempt: u64,
+    /// Team.
+    pub team: String,
+    /// Name of the job.
+    pub name: String,
+    /// Size reserved.
+    pub size: Size,
+    /// Estimated run time in milliseconds; zero if it runs until stopped.
+    pub run_ms: u64,
+}
+
+/// Order to end or to throttle a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Stop {
+    /// Task.
+    pub task: Task,
+    /// Number of its run.
+    pub attempt: u64,
+    /// How.
+    pub how: How,
+}
+
+/// Answer to a poll.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Orders {
+    /// Number of this answer.
+    pub number: u64,
+    /// The worker's tasks may run this long after the poll was sent, in
+    /// milliseconds.
+    pub lease_ms: u64,
+    /// Tasks to start; ones that run already are not to be started again.
+    pub start: Vec<Start>,
+    /// Tasks to end or throttle.
+    pub stop: Vec<Stop>,
+    /// Ended tasks that need not be reported again.
+    pub ended: Vec<(Task, u64)>,
+}
+
+impl Fleet {
+    /// Takes a poll.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Kind::BadAnnouncement`] if it is not credible or older than one
+    /// taken before.
+    pub fn poll(&mut self, now: Moment, poll: &Poll) -> Result<()> {
+        if !is_name(&poll.name) || !is_name(&poll.rack) || poll.size.cpu_milli == 0 {
+            let message = "a worker needs a name, a rack and processors";
+            return Err(Error::new(Kind::BadAnnouncement, message));
+        }
+        let key = self.worker_of(now, poll)?;
+        let worker = &mut self.workers[key.0 as usize];
+        worker.poll = poll.number;
+        if !worker.up {
+            worker.up = true;
+            self.total = self.total.plus(poll.size);
+            let worker = poll.name.clone();
+            self.events.push(Event::WorkerUp { worker });
+        }
+        let worker = &mut self.workers[key.0 as usize];
+        worker.lease_until = now + with_clock_margin(WORKER_LEASE);
+        for end in &poll.ended {
+            self.take_end(now, key, end);
+        }
+        for run in &poll.running {
+            self.take_run(now, key, run);
+        }
+        self.find_missing(now, key, poll);
+        self.relieve(key);
+        self.refresh(key);
+        Ok(())
+    }
+
+    /// Returns what to answer a worker's poll, if there is anything new to say.
+    pub fn orders(&mut self, now: Moment, name: &str, force: bool) -> Option<Orders> {
+        let key = *self.names.get(name)?;
+        let worker = &mut self.workers[key.0 as usize];
+        let is_new = worker.starts.values().any(|o| o.reply == 0)
+            || !worker.stops.is_empty()
+            || !worker.acks.is_empty();
+        if !is_new && !force {
+            return None;
+        }
+        // Numbers of a later leader are above those of an earlier one.
+        worker.reply = (worker.reply + 1).max(self.term << 32);
+        worker.lease_until = now + with_clock_margin(WORKER_LEASE);
+        let number = worker.reply;
+        for ordered in worker.starts.values_mut().filter(|o| o.reply == 0) {
+            ordered.reply = number;
+        }
+        Some(Orders {
+            number,
+            lease_ms: WORKER_LEASE.as_millis() as u64,
+            start: worker.starts.values().map(|o| o.start.clone()).collect(),
+            stop: worker.stop_orders(),
+            ended: std::mem::take(&mut worker.acks),
+        })
+    }
+
+    fn worker_of(&mut self, now: Moment, poll: &Poll) -> Result<WorkerKey> {
+        let count = u32::try_from(self.racks.len()).expect("fewer than 2^32 racks");
+        let rack = *self.racks.entry(poll.rack.clone()).or_insert(count);
+        let Some(&key) = self.names.get(&poll.name) else {
+            let key = WorkerKey(u32::try_from(self.workers.len()).expect("fewer workers"));
+            self.workers.push(new_worker(poll, rack));
+            self.names.insert(poll.name.clone(), key);
+            return Ok(key);
+        };
+        let worker = &mut self.workers[key.0 as usize];
+        let known = (worker.incarnation, worker.poll);
+        if (poll.incarnation, poll.number) <= known {
+            let message = "a later poll of this worker was taken";
+            return Err(Error::new(Kind::BadAnnouncement, message));
+        }
+        if poll.incarnation > worker.incarnation {
+            // Its tasks ended with its former process.
+            self.lose_tasks(now, key, true);
+            let worker = &mut self.workers[key.0 as usize];
+            worker.incarnation = poll.incarnation;
+            worker.stops.clear();
+            worker.acks.clear();
+        }
+        let worker = &mut self.workers[key.0 as usize];
+        if worker.up && worker.total != poll.size {
+            self.total = self.total.minus(worker.total).plus(poll.size);
+        }
+        worker.total = poll.size;
+        worker.rack = rack;
+        Ok(key)
+    }
+
+    fn take_end(&mut self, now: Moment, key: WorkerKey, end: &EndReport) {
+        let worker = &mut self.workers[key.0 as usize];
+        worker.stops.remove(&(end.task, end.attempt));
+        let is_current = worker.tasks.get(&end.task) == Some(&end.attempt);
+        if !is_current {
+            let is_ending = self
+                .jobs
+                .get(&end.task.job)
+                .is_some_and(|job| job.ending.contains(&end.task.index));
+            let adopts = end.ok && self.adopt_end(key, end);
+            // Its acknowledgement follows once the registry holds it.
+            if !is_ending && !adopts {
+                let worker = &mut self.workers[key.0 as usize];
+                worker.acks.push((end.task, end.attempt));
+            }
+            return;
+        }
+        let team = self.vacate(now, key, end.task);
+        if let Some(team) = team {
+            self.return_unit(&team);
+        }
+        self.events.push(Event::TaskEnded {
+            task: end.task.to_string(),
+            ok: end.ok,
+        });
+        if !self.jobs.contains_key(&end.task.job) {
+            self.workers[key.0 as usize]
+                .acks
+                .push((end.task, end.attempt));
+            return;
+        }
+        if end.ok {
+            self.record_run(now, key, true);
+            self.acks.insert(end.task, (key, end.attempt));
+            let job = self.jobs.get_mut(&end.task.job).expect("known job");
+            job.failures = 0;
+            job.ending.insert(end.task.index);
+            self.ended.push(Ended {
+                task: end.task,
+                ok: true,
+                fatal: None,
+            });
+            return;
+        }
+        self.workers[key.0 as usize]
+            .acks
+            .push((end.task, end.attempt));
+        if end.evicted {
+            self.requeue(end.task);
+        } else {
+            self.take_failure(now, key, end.task);
+        }
+    }
+
+    // A task that ended well under a predecessor of this leader.
+    fn adopt_end(&mut self, key: WorkerKey, end: &EndReport) -> bool {
+        let Some(job) = self.jobs.get_mut(&end.task.job) else {
+            return false;
+        };
+        if !job.unsettled.remove(&end.task.index) {
+            return false;
+        }
+        job.ending.insert(end.task.index);
+        self.acks.insert(end.task, (key, end.attempt));
+        self.ended.push(Ended {
+            task: end.task,
+            ok: true,
+            fatal: None,
+        });
+        true
+    }
+
+    fn record_run(&mut self, now: Moment, key: WorkerKey, ok: bool) {
+        self.failures.record(ok);
+        let rate = self.failures;
+        let worker = &mut self.workers[key.0 as usize];
+        if let Some(length) = worker.health.record(now, ok, rate) {
+            let worker = worker.name.clone();
+            let millis = length.as_millis() as u64;
+            self.events
+                .push(Event::WorkerQuarantined { worker, millis });
+        }
+    }
+
+    fn take_failure(&mut self, now: Moment, key: WorkerKey, task: Task) {
+        let suspect = self.workers[key.0 as usize].health.is_suspect();
+        self.record_run(now, key, false);
+        let quarantined = self.workers[key.0 as usize].health.is_quarantined();
+        let job = self.jobs.get_mut(&task.job).expect("known job");
+        if !job.spec.rerun {
+            self.ended.push(Ended {
+                task,
+                ok: false,
+                fatal: Some(format!("task {} failed and may not run again", task.index)),
+            });
+            return;
+        }
+        // Failures of a worker that fails everything don't count against the job.
+        if !suspect && !quarantined {
+            job.failures += 1;
+            if job.failures > FAILURES_FREE {
+                let pause = BACKOFF_BASE
+                    .saturating_mul(1 << (job.failures - FAILURES_FREE).min(10))
+                    .min(BACKOFF_CAP);
+                job.not_before = now + pause;
+            }
+        }
+        self.requeue(task);
+    }
+
+    /// Puts a task back among those to be placed.
+    pub(super) fn requeue(&mut self, task: Task) {
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.size = self.estimates.size(&job.team, &job.spec);
+            job.waiting.insert(task.index);
+            self.enlist(task.job);
+        }
+    }
+
+    fn take_run(&mut self, now: Moment, key: WorkerKey, run: &RunReport) {
+        let worker = &mut self.workers[key.0 as usize];
+        if let Some(ordered) = worker.starts.get(&run.task)
+            && ordered.start.attempt == run.attempt
+        {
+            worker.starts.remove(&run.task);
+        }
+        match worker.tasks.get(&run.task) {
+            Some(&attempt) if attempt == run.attempt => {}
+            _ => {
+                if !self.adopt_run(now, key, run) {
+                    let worker = &mut self.workers[key.0 as usize];
+                    worker.order_stop(run.task, run.attempt, How::Stop);
+                    self.woken.insert(key);
+                    return;
+                }
+            }
+        }
+        if let Some(used) = run.used {
+            self.take_usage(now, key, run.task, used);
+        }
+    }
+
+    // A task that a predecessor of this leader placed.
+    fn adopt_run(&mut self, now: Moment, key: WorkerKey, run: &RunReport) -> bool {
+        let Some(job) = self.jobs.get_mut(&run.task.job) else {
+            return false;
+        };
+        if !job.unsettled.remove(&run.task.index) {
+            return false;
+        }
+        let team = job.team.clone();
+        let size = job.size;
+        self.seat(now, key, run.task, run.attempt, size);
+        self.adopted_units.push(team);
+        true
+    }
+
+    // Tasks that the worker was told to run before its latest answer and that it
+    // neither runs nor has ended are gone.
+    fn find_missing(&mut self, now: Moment, key: WorkerKey, poll: &Poll) {
+        let worker = &self.workers[key.0 as usize];
+        let reported: std::collections::BTreeSet<Task> = poll
+            .running
+            .iter()
+            .map(|r| r.task)
+            .chain(poll.ended.iter().map(|e| e.task))
+            .collect();
+        let missing: Vec<Task> = worker
+            .tasks
+            .keys()
+            .filter(|task| !reported.contains(*task))
+            .filter(|task| match worker.starts.get(*task) {
+                Some(ordered) => ordered.reply > 0 && ordered.reply <= poll.seen,
+                None => !worker.held.contains_key(*task),
+            })
+            .copied()
+            .collect();
+        for task in missing {
+            if let Some(team) = self.vacate(now, key, task) {
+                self.return_unit(&team);
+            }
+            self.requeue(task);
+        }
+    }
+
+    pub(super) fn expire_leases(&mut self, now: Moment) {
+        for at in 0..self.workers.len() {
+            let key = WorkerKey(u32::try_from(at).expect("fewer workers"));
+            let worker = &mut self.workers[at];
+            if worker.health.tick(now) {
+                self.refresh(key);
+            }
+            let worker = &mut self.workers[at];
+            if !worker.up || now < worker.lease_until {
+                continue;
+            }
+            worker.up = false;
+            self.total = self.total.minus(worker.total);
+            let name = worker.name.clone();
+            self.events.push(Event::WorkerSilent { worker: name });
+            self.lose_tasks(now, key, false);
+            self.refresh(key);
+        }
+    }
+
+    // The tasks of a worker whose process or lease has ended run no longer.
+    fn lose_tasks(&mut self, now: Moment, key: WorkerKey, restarted: bool) {
+        let tasks: Vec<Task> = self.workers[key.0 as usize].tasks.keys().copied().collect();
+        for task in tasks {
+            let keep = self
+                .jobs
+                .get(&task.job)
+                .is_some_and(|job| job.spec.unreachable == Unreachable::Keep);
+            if keep && !restarted {
+                let job = self.jobs.get_mut(&task.job).expect("known job");
+                if let Some(placement) = job.placed.get_mut(&task.index) {
+                    placement.kept = true;
+                }
+                continue;
+            }
+            let worker = self.workers[key.0 as usize].name.clone();
+            self.events.push(Event::TaskLost {
+                task: task.to_string(),
+                worker,
+            });
+            if let Some(team) = self.vacate(now, key, task) {
+                self.return_unit(&team);
+            }
+            if let Some(job) = self.jobs.get(&task.job) {
+                self.lost.insert((job.rank, task));
+            }
+        }
+    }
+}
+
+fn new_worker(poll: &Poll, rack: u32) -> Worker {
+    Worker {
+        name: poll.name.clone(),
+        incarnation: poll.incarnation,
+        rack,
+        total: poll.size,
+        reserved: Size::default(),
+        lease_until: Moment::ZERO,
+        up: false,
+        tasks: Default::default(),
+        held: Default::default(),
+        kept: Size::default(),
+        starts: Default::default(),
+        stops: Default::default(),
+        acks: Vec::new(),
+        orphans: Default::default(),
+        used: Default::default(),
+        health: Default::default(),
+        poll: 0,
+        reply: 0,
+    }
+}
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -248,6 +248,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Table {
     next: u64,
+    changes: u64,
     jobs: BTreeMap<Id, Job>,
     requests: BTreeMap<(String, String), Id>,
     ended: VecDeque<Id>,
@@ -259,8 +260,13 @@
         self.jobs.get(&id)
     }
 
+    /// Returns a number that rises with every change.
+    pub const fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Returns all jobs in the order of submission.
-    pub fn iter(&self) -> impl Iterator<Item = &Job> {
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = &Job> {
         self.jobs.values()
     }
 
@@ -282,6 +288,7 @@
             return Outcome::Submitted(id);
         }
         self.next += 1;
+        self.changes += 1;
         let id = Id(self.next);
         let job = Job {
             id,
@@ -305,6 +312,7 @@
         };
         if job.state == State::Open {
             job.state = State::Cancelled;
+            self.changes += 1;
             self.retire(id);
         }
         Outcome::Done
@@ -312,6 +320,7 @@
 
     /// Records ended tasks; unknown and repeated ones change nothing.
     pub fn end(&mut self, ended: &[Ended]) {
+        self.changes += 1;
         for end in ended {
             let id = end.task.job;
             let Some(job) = self.jobs.get_mut(&id).filter(|j| j.state == State::Open) else {
@@ -337,13 +346,6 @@
         }
     }
 
-    /// Moves an open job to another zone.
-    pub fn assign(&mut self, id: Id, zone: &str) {
-        if let Some(job) = self.jobs.get_mut(&id) {
-            zone.clone_into(&mut job.zone);
-        }
-    }
-
     fn retire(&mut self, id: Id) {
         self.ended.push_back(id);
         while self.ended.len() > ENDED_MAX {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 pub mod consensus;
 pub mod control;
 pub mod escrow;
+pub mod fleet;
 pub mod freshness;
 pub mod gate;
 pub mod job;
--- a/src/core/office/division.rs
+++ b/src/core/office/division.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{DIVIDE_EVERY, Holder, Office};
+use super::{DIVIDE_EVERY, FLEET, Holder, Office};
 use crate::core::escrow::Cell;
 use crate::core::registry::InstanceId;
 use crate::core::share::{Claim, Claimant, divide, round_down, targets};
@@ -106,7 +106,7 @@
                 ..*p
             })
             .collect();
-        for (id, units) in recalls(free, &after) {
+        for (id, units) in recalls(free, 0, &after) {
             let holder = self.holders.get_mut(&id).expect("open holder");
             holder.recall_slots.insert(service.to_owned(), units);
             holder.urgent = true;
@@ -187,11 +187,9 @@
         let issuer = &self.units[team].issuer;
         let has: BTreeMap<InstanceId, u64> =
             issuer.accounts().map(|(id, a)| (id, a.balance())).collect();
-        let fleet = has.get(&super::FLEET).copied().unwrap_or(0);
-        let reserved = fleet + self.units[team].owed;
-        let capacity = issuer.capacity().saturating_sub(reserved);
-        let ids: Vec<InstanceId> = self.open_holders().map(|(id, _)| id).collect();
-        let claims: Vec<Claim> = self
+        let capacity = issuer.capacity().saturating_sub(self.units[team].owed);
+        let mut ids: Vec<InstanceId> = self.open_holders().map(|(id, _)| id).collect();
+        let mut claims: Vec<Claim> = self
             .open_holders()
             .map(|(_, h)| Claim {
                 weight: 1,
@@ -204,11 +202,20 @@
                 standing: h.local && !h.leaving,
             })
             .collect();
-        let positions = positions(capacity, &ids, &claims, &has);
+        // Tasks take their part themselves; here it is only kept free for them.
+        ids.push(FLEET);
+        claims.push(Claim {
+            weight: 1,
+            demand: self.units[team].tasks,
+            standing: false,
+        });
+        let mut positions = positions(capacity, &ids, &claims, &has);
+        let tasks = positions.pop().expect("just added");
         let mut after = Vec::new();
         for position in &positions {
             let units = self.units.get_mut(team).expect("known team");
-            let spare = units.issuer.free().saturating_sub(units.owed);
+            let kept = units.owed + tasks.deficit();
+            let spare = units.issuer.free().saturating_sub(kept);
             let given = units
                 .issuer
                 .give(position.holder, position.deficit().min(spare));
@@ -227,7 +234,8 @@
         let issuer = &self.units[team].issuer;
         let owed = self.units[team].owed;
         let free = issuer.free().saturating_sub(owed);
-        let mut wanted = recalls(free, &after);
+        let lack = tasks.deficit();
+        let mut wanted = recalls(free.saturating_sub(lack), lack.saturating_sub(free), &after);
         if (issuer.excess() > 0 || owed > issuer.free()) && wanted.is_empty() {
             wanted = after
                 .iter()
@@ -260,10 +268,10 @@
 }
 
 /// Chooses how much to recall from holders above their targets so that those
-/// below can be served.
-fn recalls(free: u64, positions: &[Position]) -> Vec<(InstanceId, u64)> {
+/// below can be served, and `besides` more.
+fn recalls(free: u64, besides: u64, positions: &[Position]) -> Vec<(InstanceId, u64)> {
     let deficit: u64 = positions.iter().map(|p| p.deficit()).sum();
-    let mut wanted = deficit.saturating_sub(free);
+    let mut wanted = deficit.saturating_sub(free) + besides;
     let mut recalls = Vec::new();
     for position in positions {
         let units = position.surplus().min(wanted);
--- a/src/core/office/mod.rs
+++ b/src/core/office/mod.rs
@@ -10,6 +10,7 @@
 pub use host::{Heartbeat, Host, Seen};
 
 use crate::core::escrow::{Cell, Issuer};
+use crate::core::fleet::WORKER_LEASE;
 use crate::core::gate::{Announcement, cell_of};
 use crate::core::registry::InstanceId;
 use crate::core::time::{Moment, with_clock_margin};
@@ -36,6 +37,7 @@
     share: u32,
     returned: u64,
     owed: u64,
+    tasks: u64,
 }
 
 /// What the zone leader knows of one entry instance.
@@ -140,6 +142,7 @@
             share,
             returned,
             owed: 0,
+            tasks: 0,
         });
         units.share = share;
         units.returned = units.returned.max(returned);
@@ -151,12 +154,13 @@
 
     // Units that unknown holders may still use must not be given to anyone.
     fn units_clear(&self, now: Moment) -> bool {
-        self.first || now >= self.safe_at() + with_clock_margin(self.run_limit)
+        let longest = self.run_limit.max(WORKER_LEASE);
+        self.first || now >= self.safe_at() + with_clock_margin(longest)
     }
 
     /// Returns for each team its name, the units that it could use here now and
     /// the returned counter.
-    pub fn unit_demands(&self, fleet: &BTreeMap<String, u64>) -> Vec<UnitDemand> {
+    pub fn unit_demands(&self) -> Vec<UnitDemand> {
         let mut requests: BTreeMap<&str, u64> = BTreeMap::new();
         for demand in self.holders.values().flat_map(|h| &h.demands) {
             *requests.entry(&demand.team).or_default() += demand.waiting + demand.running;
@@ -165,14 +169,20 @@
             .iter()
             .map(|(team, units)| UnitDemand {
                 team: team.clone(),
-                demand: requests.get(team.as_str()).copied().unwrap_or(0)
-                    + fleet.get(team).copied().unwrap_or(0),
+                demand: requests.get(team.as_str()).copied().unwrap_or(0) + units.tasks,
                 capacity: units.issuer.capacity(),
                 returned: units.returned,
             })
             .collect()
     }
 
+    /// Sets how many units each team could use for tasks.
+    pub fn set_task_demands(&mut self, demands: &BTreeMap<String, u64>) {
+        for (team, units) in &mut self.units {
+            units.tasks = demands.get(team).copied().unwrap_or(0);
+        }
+    }
+
     /// Takes up to `units` of a team's limit for tasks.
     pub fn take_units(&mut self, now: Moment, team: &str, units: u64) -> u64 {
         if !self.units_clear(now) {
--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -155,13 +155,6 @@
     },
     /// Records ended tasks.
     End(Vec<job::Ended>),
-    /// Moves a job to another zone.
-    Assign {
-        /// Job.
-        job: job::Id,
-        /// Zone that places it from now on.
-        zone: String,
-    },
 }
 
 /// What applying a command gave.
@@ -245,10 +238,6 @@
                 self.jobs.end(ended);
                 Outcome::Done
             }
-            Command::Assign { job, zone } => {
-                self.jobs.assign(*job, zone);
-                Outcome::Done
-            }
         }
     }
 
--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -31,11 +31,7 @@
 ///
 /// Fails with [`Kind::BadRequest`] if one is malformed.
 pub fn wish(method: &Method, headers: &HeaderMap, service: &Service) -> Result<Wish> {
-    let id = match text(headers, "idempotency-key")? {
-        Some(id) if is_id(id) => Some(id.to_owned()),
-        Some(_) => return Err(bad("Idempotency-Key: 1 to 128 visible characters")),
-        None => None,
-    };
+    let id = id(headers)?;
     let deadline = match number(headers, "x-deadline-ms")? {
         Some(0) => return Err(bad("X-Deadline-Ms must be above 0")),
         Some(millis) => Duration::from_millis(millis),
@@ -57,6 +53,19 @@
     })
 }
 
+/// Returns the caller's request id, if there is one.
+///
+/// # Errors
+///
+/// Fails with [`Kind::BadRequest`] if it is malformed.
+pub fn id(headers: &HeaderMap) -> Result<Option<String>> {
+    match text(headers, "idempotency-key")? {
+        Some(id) if is_id(id) => Ok(Some(id.to_owned())),
+        Some(_) => Err(bad("Idempotency-Key: 1 to 128 visible characters")),
+        None => Ok(None),
+    }
+}
+
 /// Longest deadline that a caller can ask for.
 const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
 
--- /dev/null
+++ b/src/http/jobs.rs
@@ -0,0 +1,223 @@
+//! Handlers for jobs.
+
+use axum::extract::{Path, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use serde::{Deserialize, Serialize};
+
+use super::App;
+use super::headers::{bearer, id as request_id};
+use super::operators::is_operator;
+use super::platform::parse;
+use super::reply::{Refused, json};
+use crate::core::control::{Answer, JobLine, Query, Target};
+use crate::core::fleet::Explanation;
+use crate::core::job::{Id, Job, Spec, State as JobState, TASKS_MAX};
+use crate::core::registry::{Command, Outcome};
+use crate::error::{Error, Kind, Result};
+
+/// Answer to an accepted job.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Submitted {
+    /// Job.
+    pub id: Id,
+}
+
+/// A job as its team sees it.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ShownJob {
+    /// Job.
+    pub id: Id,
+    /// Team.
+    pub team: String,
+    /// Zone that places it.
+    pub zone: String,
+    /// Where it stands.
+    pub state: JobState,
+    /// Tasks.
+    pub tasks: u32,
+    /// Tasks that ended well.
+    pub ended: u32,
+    /// What was asked for.
+    pub spec: Spec,
+}
+
+fn respond<T: Serialize>(result: Result<T>) -> Response {
+    match result {
+        Ok(body) => json(StatusCode::OK, &body),
+        Err(err) => Refused::from(err).into_response(),
+    }
+}
+
+/// Takes a job.
+pub async fn submit(State(app): State<App>, headers: HeaderMap, body: String) -> Response {
+    respond(accept(&app, &headers, &body).await)
+}
+
+async fn accept(app: &App, headers: &HeaderMap, body: &str) -> Result<Submitted> {
+    let spec: Spec = parse(body)?;
+    check(&spec)?;
+    let view = app.node.traffic.view.load_full();
+    let queue = view.config.queues.get(&spec.queue);
+    if queue.is_none() && !spec.queue.is_empty() {
+        let message = format!("no queue {}", spec.queue);
+        return Err(Error::new(Kind::NotFound, message));
+    }
+    let open = queue.and_then(|q| q.open.clone());
+    let team = match (bearer(headers)?, open) {
+        (Some(secret), _) => app.node.traffic.authenticate(&view, secret)?,
+        (None, Some(open)) => open,
+        (None, None) => return Err(Error::new(Kind::Unauthenticated, "no key")),
+    };
+    let request = request_id(headers)?.unwrap_or_default();
+    let zone = choose_zone(app, &view.zones, &spec).await?;
+    let job = Job {
+        id: Id(0),
+        team,
+        request,
+        spec,
+        zone,
+        state: JobState::Open,
+        ended: Vec::new(),
+        failures: 0,
+    };
+    let query = Query::Propose(Command::Submit(Box::new(job)));
+    match app.node.ask(Target::Root, query).await? {
+        Answer::Outcome(Outcome::Submitted(id)) => Ok(Submitted { id }),
+        Answer::Outcome(Outcome::Refused(err)) => Err(err),
+        _ => Err(Kind::Internal.into()),
+    }
+}
+
+fn check(spec: &Spec) -> Result<()> {
+    let bad = |message: &str| Err(Error::new(Kind::BadRequest, message));
+    if !crate::config::is_name(&spec.name) {
+        return bad("the job needs a name of letters, digits, `-`, `_` or `.`");
+    }
+    if spec.tasks == 0 || spec.tasks > TASKS_MAX {
+        return Err(Error::new(
+            Kind::BadRequest,
+            format!("tasks must be from 1 to {TASKS_MAX}"),
+        ));
+    }
+    if spec.size.cpu_milli == 0 || spec.size.memory_mb == 0 {
+        return bad("a task needs processors and memory");
+    }
+    Ok(())
+}
+
+/// Chooses the zone with the most room among those where the job can run; the own
+/// zone wins a tie.
+async fn choose_zone(app: &App, zones: &[String], spec: &Spec) -> Result<String> {
+    let mut best: Option<(u64, String)> = None;
+    let mut misfits = Vec::new();
+    let own = app.node.traffic.zone.clone();
+    let others = zones.iter().filter(|zone| **zone != own).cloned();
+    for zone in std::iter::once(own.clone()).chain(others) {
+        let query = Query::Admit(Box::new(spec.clone()));
+        let answer = app.node.ask(Target::Zone(zone.clone()), query).await;
+        match answer {
+            Ok(Answer::Admission {
+                misfit: None,
+                free_milli,
+            }) => {
+                if best.as_ref().is_none_or(|(free, _)| free_milli > *free) {
+                    best = Some((free_milli, zone));
+                }
+            }
+            Ok(Answer::Admission {
+                misfit: Some(reason),
+                ..
+            }) => misfits.push(format!("{zone}: {reason}")),
+            // A zone that cannot be reached takes no part.
+            _ => {}
+        }
+    }
+    if let Some((_, zone)) = best {
+        return Ok(zone);
+    }
+    if misfits.is_empty() {
+        return Err(Error::new(Kind::NoQuorum, "no zone leader can be reached"));
+    }
+    Err(Error::new(Kind::Unplaceable, misfits.join("; ")))
+}
+
+/// Returns the team that may see a job, or none for an operator, who sees all.
+fn viewer(app: &App, headers: &HeaderMap) -> Result<Option<String>> {
+    if is_operator(app, headers) {
+        return Ok(None);
+    }
+    let view = app.node.traffic.view.load();
+    let secret = bearer(headers)?.ok_or_else(|| Error::new(Kind::Unauthenticated, "no key"))?;
+    app.node.traffic.authenticate(&view, secret).map(Some)
+}
+
+async fn find(app: &App, headers: &HeaderMap, id: u64) -> Result<Job> {
+    let viewer = viewer(app, headers)?;
+    // The own state may lag behind the answer to a submission.
+    let local = app.node.ask(Target::Here, Query::Job(Id(id))).await;
+    let answer = match local {
+        Ok(answer) => answer,
+        Err(_) => app.node.ask(Target::Root, Query::Job(Id(id))).await?,
+    };
+    match answer {
+        Answer::Job(job) if viewer.is_none_or(|team| team == job.team) => Ok(*job),
+        _ => Err(Error::new(Kind::NotFound, format!("no job {id}"))),
+    }
+}
+
+/// Shows a job.
+pub async fn show(State(app): State<App>, Path(id): Path<u64>, headers: HeaderMap) -> Response {
+    let shown = find(&app, &headers, id).await.map(|job| ShownJob {
+        id: job.id,
+        ended: job.ended_count(),
+        tasks: job.spec.tasks,
+        team: job.team,
+        zone: job.zone,
+        state: job.state,
+        spec: job.spec,
+    });
+    respond(shown)
+}
+
+/// Lists the jobs of the key's team, or all for an operator.
+pub async fn list(State(app): State<App>, headers: HeaderMap) -> Response {
+    let listed = async {
+        let viewer = viewer(&app, &headers)?;
+        match app.node.ask(Target::Here, Query::Jobs(viewer)).await? {
+            Answer::Jobs(jobs) => Ok::<Vec<JobLine>, Error>(jobs),
+            _ => Err(Kind::Internal.into()),
+        }
+    };
+    respond(listed.await)
+}
+
+/// Cancels a job.
+pub async fn cancel(State(app): State<App>, Path(id): Path<u64>, headers: HeaderMap) -> Response {
+    let cancelled = async {
+        let team = viewer(&app, &headers)?;
+        let command = Command::Cancel { job: Id(id), team };
+        match app.node.ask(Target::Root, Query::Propose(command)).await? {
+            Answer::Outcome(Outcome::Done) => Ok(()),
+            Answer::Outcome(Outcome::Refused(err)) => Err(err),
+            _ => Err(Error::from(Kind::Internal)),
+        }
+    };
+    respond(cancelled.await)
+}
+
+/// Explains why a job's tasks wait.
+pub async fn explain(State(app): State<App>, Path(id): Path<u64>, headers: HeaderMap) -> Response {
+    let explained = async {
+        let job = find(&app, &headers, id).await?;
+        if job.state != JobState::Open {
+            return Ok(Explanation::default());
+        }
+        let target = Target::Zone(job.zone);
+        match app.node.ask(target, Query::Explain(Id(id))).await? {
+            Answer::Explanation(explanation) => Ok(explanation),
+            _ => Err(Error::from(Kind::Internal)),
+        }
+    };
+    respond(explained.await)
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod headers;
+mod jobs;
 mod operators;
 mod platform;
 mod pool;
@@ -22,6 +23,7 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
+pub use jobs::{ShownJob, Submitted};
 pub use operators::{
     Events, Faults, GiveBody, PushBody, Pushed, Shown, ShownKey, WithdrawnBody, operator_token,
 };
@@ -94,6 +96,10 @@
 fn router(app: App) -> Router {
     let control = Router::new()
         .route("/v1/upstreams", post(platform::announce))
+        .route("/v1/workers/poll", post(platform::poll))
+        .route("/v1/jobs", get(jobs::list).post(jobs::submit))
+        .route("/v1/jobs/{id}", get(jobs::show).delete(jobs::cancel))
+        .route("/v1/jobs/{id}/explain", get(jobs::explain))
         .route("/v1/config", get(operators::show).post(operators::push))
         .route("/v1/keys", get(operators::keys).post(operators::give))
         .route("/v1/keys/{id}", axum::routing::delete(operators::withdraw))
--- a/src/http/operators.rs
+++ b/src/http/operators.rs
@@ -137,10 +137,15 @@
     hex::encode(sha256(&bytes))
 }
 
-fn authorize(app: &App, headers: &HeaderMap) -> Result<()> {
+/// Returns whether a request carries the operators' token.
+pub fn is_operator(app: &App, headers: &HeaderMap) -> bool {
     let token = operator_token(&app.node.settings.secret);
-    let given = bearer(headers)?.unwrap_or_default();
-    if bool::from(sha256(given.as_bytes()).ct_eq(&sha256(token.as_bytes()))) {
+    let given = bearer(headers).ok().flatten().unwrap_or_default();
+    bool::from(sha256(given.as_bytes()).ct_eq(&sha256(token.as_bytes())))
+}
+
+fn authorize(app: &App, headers: &HeaderMap) -> Result<()> {
+    if is_operator(app, headers) {
         return Ok(());
     }
     Err(Error::new(Kind::Unauthenticated, "wrong operator token"))
--- a/src/http/platform.rs
+++ b/src/http/platform.rs
@@ -13,6 +13,7 @@
 use super::headers::bearer;
 use super::reply::{Refused, json};
 use crate::core::control::{Answer, Query, Target};
+use crate::core::fleet::Poll;
 use crate::core::gate::Announcement;
 use crate::core::office::{Heartbeat, Seen};
 use crate::core::registry::InstanceId;
@@ -98,6 +99,23 @@
     }
 }
 
+/// Takes a worker's poll; answers once there are orders or its wait is over.
+pub async fn poll(State(app): State<App>, headers: HeaderMap, body: String) -> Response {
+    let polled = async {
+        authorize(&app, &headers)?;
+        let poll: Poll = parse(&body)?;
+        let target = Target::Zone(poll.zone.clone());
+        match app.node.ask(target, Query::Poll(Box::new(poll))).await? {
+            Answer::Orders(orders) => Ok(orders),
+            _ => Err(Error::from(Kind::Internal)),
+        }
+    };
+    match polled.await {
+        Ok(orders) => json(StatusCode::OK, &orders),
+        Err(err) => Refused::from(err).into_response(),
+    }
+}
+
 fn by_instance(running: BTreeMap<String, u32>) -> BTreeMap<InstanceId, u32> {
     running
         .into_iter()
--- a/src/node.rs
+++ b/src/node.rs
@@ -48,7 +48,7 @@
 /// Orders to the control thread.
 #[derive(Debug)]
 enum Order {
-    Ask(Question),
+    Ask(Box<Question>),
     Leave,
     Resign(oneshot::Sender<()>),
 }
@@ -79,7 +79,7 @@
             query,
             reply,
         };
-        let sent = self.orders.send(Order::Ask(question)).await;
+        let sent = self.orders.send(Order::Ask(Box::new(question))).await;
         sent.map_err(|_| Error::from(Kind::Draining))?;
         match timeout(ASK_TIMEOUT, answer).await {
             Ok(Ok(Answer::Failed(err))) => Err(err),
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,5 +2,6 @@
 //! published protocols. For trials, tests and measurements.
 
 mod upstream;
+pub mod worker;
 
 pub use upstream::{Behaviour, Ledger, Plan, Upstream};
--- /dev/null
+++ b/src/standin/worker.rs
@@ -0,0 +1,241 @@
+//! A stand-in worker: polls for orders and runs tasks that only take time.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+use crate::client::Client;
+use crate::core::fleet::{EndReport, How, Orders, Poll, RunReport};
+use crate::core::job::{Size, Task};
+use crate::error::Result;
+
+/// Longest wait for orders.
+const POLL_WAIT: Duration = Duration::from_millis(1_000);
+/// Longest wait for an answer to a poll.
+const POLL_TIMEOUT: Duration = Duration::from_secs(4);
+/// Pause after a failed poll.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// What a worker is.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Rack.
+    pub rack: String,
+    /// What it has.
+    pub size: Size,
+    /// Whether it fails everything that it starts.
+    pub fails: bool,
+}
+
+/// What all workers of a trial have run, to find tasks that run in two places.
+#[derive(Debug, Default)]
+pub struct Record {
+    /// Tasks running now and on how many workers.
+    pub running: BTreeMap<Task, u32>,
+    /// Most workers that ran one task at once.
+    pub most: u32,
+    /// Tasks started.
+    pub started: u64,
+    /// Tasks that ended well.
+    pub ended: u64,
+}
+
+#[derive(Debug)]
+struct Running {
+    attempt: u64,
+    until: Option<Instant>,
+}
+
+/// Runs a worker until the token is cancelled.
+pub async fn run(
+    plan: Plan,
+    entries: Vec<SocketAddr>,
+    platform_token: Option<String>,
+    record: Arc<Mutex<Record>>,
+    token: CancellationToken,
+) {
+    let mut clients: Vec<Client> = entries
+        .into_iter()
+        .map(|at| Client::new(at, platform_token.clone(), POLL_TIMEOUT))
+        .collect();
+    let mut worker = State {
+        plan,
+        record,
+        running: BTreeMap::new(),
+        ended: Vec::new(),
+        number: 0,
+        seen: 0,
+        lease_until: Instant::now(),
+    };
+    let mut turn = 0;
+    while !token.is_cancelled() && !clients.is_empty() {
+        let at = turn % clients.len();
+        let next_end = worker.next_end();
+        let polled = tokio::select! {
+            polled = worker.poll(&mut clients[at]) => polled,
+            () = wait_until(next_end) => Ok(()),
+            () = token.cancelled() => return,
+        };
+        if polled.is_err() {
+            turn += 1;
+            sleep(RETRY_PAUSE).await;
+        }
+        worker.end_due();
+        worker.end_without_lease();
+    }
+}
+
+async fn wait_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
+struct State {
+    plan: Plan,
+    record: Arc<Mutex<Record>>,
+    running: BTreeMap<Task, Running>,
+    ended: Vec<EndReport>,
+    number: u64,
+    seen: u64,
+    lease_until: Instant,
+}
+
+impl State {
+    async fn poll(&mut self, client: &mut Client) -> Result<()> {
+        self.number += 1;
+        let sent = Instant::now();
+        let poll = Poll {
+            name: self.plan.name.clone(),
+            incarnation: 1,
+            zone: self.plan.zone.clone(),
+            rack: self.plan.rack.clone(),
+            size: self.plan.size,
+            number: self.number,
+            seen: self.seen,
+            running: self
+                .running
+                .iter()
+                .map(|(&task, run)| RunReport {
+                    task,
+                    attempt: run.attempt,
+                    used: None,
+                })
+                .collect(),
+            ended: self.ended.clone(),
+            wait_ms: POLL_WAIT.as_millis() as u64,
+        };
+        let orders: Orders = client.call("POST", "/v1/workers/poll", Some(&poll)).await?;
+        self.lease_until = sent + Duration::from_millis(orders.lease_ms);
+        self.carry_out(orders);
+        Ok(())
+    }
+
+    fn carry_out(&mut self, orders: Orders) {
+        self.seen = orders.number;
+        self.ended
+            .retain(|end| !orders.ended.contains(&(end.task, end.attempt)));
+        for stop in orders.stop {
+            let runs = self
+                .running
+                .get(&stop.task)
+                .is_some_and(|run| run.attempt == stop.attempt);
+            if runs && stop.how != How::Throttle {
+                self.end(stop.task, false, true);
+            } else if !runs && !self.has_ended(stop.task, stop.attempt) {
+                self.ended.push(EndReport {
+                    task: stop.task,
+                    attempt: stop.attempt,
+                    ok: false,
+                    evicted: true,
+                });
+            }
+        }
+        for start in orders.start {
+            let known =
+                self.running.contains_key(&start.task) || self.has_ended(start.task, start.attempt);
+            if known || Instant::now() >= self.lease_until {
+                continue;
+            }
+            let length = Duration::from_millis(start.run_ms);
+            let run = Running {
+                attempt: start.attempt,
+                until: (start.run_ms > 0).then(|| Instant::now() + length),
+            };
+            self.running.insert(start.task, run);
+            self.note_start(start.task);
+            if self.plan.fails {
+                self.end(start.task, false, false);
+            }
+        }
+    }
+
+    fn has_ended(&self, task: Task, attempt: u64) -> bool {
+        self.ended
+            .iter()
+            .any(|end| end.task == task && end.attempt == attempt)
+    }
+
+    fn next_end(&self) -> Option<Instant> {
+        self.running.values().filter_map(|run| run.until).min()
+    }
+
+    fn end_due(&mut self) {
+        let now = Instant::now();
+        let due: Vec<Task> = self
+            .running
+            .iter()
+            .filter(|(_, run)| run.until.is_some_and(|until| until <= now))
+            .map(|(&task, _)| task)
+            .collect();
+        for task in due {
+            self.end(task, true, false);
+        }
+    }
+
+    fn end_without_lease(&mut self) {
+        if Instant::now() < self.lease_until {
+            return;
+        }
+        let tasks: Vec<Task> = self.running.keys().copied().collect();
+        for task in tasks {
+            self.end(task, false, true);
+        }
+    }
+
+    fn end(&mut self, task: Task, ok: bool, evicted: bool) {
+        let Some(run) = self.running.remove(&task) else {
+            return;
+        };
+        self.ended.push(EndReport {
+            task,
+            attempt: run.attempt,
+            ok,
+            evicted,
+        });
+        let mut record = self.record.lock().expect("record lock");
+        record.ended += u64::from(ok);
+        if let Some(count) = record.running.get_mut(&task) {
+            *count -= 1;
+        }
+        record.running.retain(|_, count| *count > 0);
+    }
+
+    fn note_start(&self, task: Task) {
+        let mut record = self.record.lock().expect("record lock");
+        let count = record.running.entry(task).or_default();
+        *count += 1;
+        let count = *count;
+        record.most = record.most.max(count);
+        record.started += 1;
+    }
+}
