Drain workers for all-at-once jobs and keep sizes right across leaders

Cause: seeded workloads (tests/fleet.rs) showed reservations above a worker after a change of leader (the new leader guessed the sizes of adopted tasks), estimates of one job name applied to another job of the same name, and an all-at-once job of 6 whole workers that never started under a stream of small tasks: room was kept only where a worker happened to become empty. Change: workers report the size that they were ordered to reserve; estimates go by team, name and declared size; the job that gathers room drains the emptiest workers that suffice. Conclusion: invariants hold on every step of these workloads.

--- a/src/core/fleet/estimate.rs
+++ b/src/core/fleet/estimate.rs
@@ -1,4 +1,4 @@
-//! Sizes corrected by what tasks really used, by team and job name.
+//! Sizes corrected by what tasks really used, by team, job name and declared size.
 
 use std::collections::HashMap;
 
@@ -8,8 +8,8 @@
 const SAMPLES_MIN: u32 = 8;
 /// Margin above the estimated peak, in percent.
 const MARGIN_PERCENT: u64 = 110;
-/// Names that are remembered.
-const NAMES_MAX: usize = 20_000;
+/// Likenesses that are remembered.
+const LIKENESSES_MAX: usize = 20_000;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Estimate {
@@ -17,20 +17,37 @@
     samples: u32,
 }
 
-/// Estimated peaks by team and job name.
+/// Jobs whose tasks are taken to be alike.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Likeness {
+    team: String,
+    name: String,
+    declared: Size,
+}
+
+impl Likeness {
+    fn of(team: &str, spec: &Spec) -> Self {
+        Self {
+            team: team.to_owned(),
+            name: spec.name.clone(),
+            declared: spec.size,
+        }
+    }
+}
+
+/// Estimated peaks.
 #[derive(Debug, Default)]
 pub struct Estimates {
-    by_name: HashMap<(String, String), Estimate>,
+    peaks: HashMap<Likeness, Estimate>,
 }
 
 impl Estimates {
     /// Takes in what a task uses: upwards at once, downwards slowly.
-    pub fn record(&mut self, team: &str, name: &str, used: Size) {
-        if self.by_name.len() >= NAMES_MAX {
-            self.by_name.clear();
+    pub fn record(&mut self, team: &str, spec: &Spec, used: Size) {
+        if self.peaks.len() >= LIKENESSES_MAX {
+            self.peaks.clear();
         }
-        let key = (team.to_owned(), name.to_owned());
-        let estimate = self.by_name.entry(key).or_default();
+        let estimate = self.peaks.entry(Likeness::of(team, spec)).or_default();
         estimate.samples = estimate.samples.saturating_add(1);
         let decay = |old: u64, new: u64| new.max(old - old / 128);
         estimate.peak = Size {
@@ -42,9 +59,8 @@
 
     /// Returns the size to reserve for a task.
     pub fn size(&self, team: &str, spec: &Spec) -> Size {
-        let key = (team.to_owned(), spec.name.clone());
         let declared = spec.size;
-        let Some(estimate) = self.by_name.get(&key) else {
+        let Some(estimate) = self.peaks.get(&Likeness::of(team, spec)) else {
             return declared;
         };
         let with_margin = |peak: u64| (peak * MARGIN_PERCENT).div_ceil(100);
--- a/src/core/fleet/gang.rs
+++ b/src/core/fleet/gang.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Fleet, WorkerKey};
+use super::{Fleet, Worker, WorkerKey};
 use crate::core::job::{Id, Size, Task};
 use crate::core::time::Moment;
 
@@ -22,6 +22,8 @@
     pub since: Moment,
     /// One entry for each task that has room.
     pub room: Vec<(WorkerKey, Size)>,
+    /// Workers that get nothing new until the job has room.
+    pub drained: Vec<WorkerKey>,
 }
 
 impl Fleet {
@@ -50,41 +52,96 @@
         }
         let (size, team, since) = (job.size, job.team.clone(), job.since);
         let tasks: Vec<u32> = job.waiting.iter().copied().collect();
-        let held = self.hold.as_ref().is_some_and(|hold| hold.job == id);
-        let mut room = if held {
-            self.hold.take().expect("present").room
-        } else {
-            Vec::new()
+        let mut hold = match self.hold.take() {
+            Some(hold) if hold.job == id => hold,
+            other => {
+                self.hold = other;
+                Hold {
+                    job: id,
+                    since: now,
+                    room: Vec::new(),
+                    drained: Vec::new(),
+                }
+            }
         };
-        while room.len() < tasks.len() {
-            let Some(key) = self.index().tightest(size) else {
-                break;
-            };
-            self.keep(key, size);
-            room.push((key, size));
-        }
+        self.gather(&mut hold, size, tasks.len());
         let units = self.teams.get(&team).map_or(0, |t| t.stock);
-        let ready = room.len() == tasks.len() && units >= tasks.len() as u64;
+        let ready = hold.room.len() == tasks.len() && units >= tasks.len() as u64;
         if ready {
+            let room = std::mem::take(&mut hold.room);
+            self.let_go(hold);
             for (index, (key, size)) in tasks.into_iter().zip(room) {
                 self.unkeep(key, size);
                 self.put(now, key, Task { job: id, index });
             }
             return;
         }
-        let may_hold = self.hold.is_none() && (held || now.since(since) >= PATIENCE);
-        if may_hold {
-            let since = now;
-            self.hold = Some(Hold {
-                job: id,
-                since,
-                room,
-            });
-            return;
+        if self.hold.is_none() && now.since(since) >= PATIENCE {
+            self.drain(&mut hold, size, tasks.len());
+            self.hold = Some(hold);
+        } else {
+            self.let_go(hold);
+        }
+    }
+
+    // Keeps room for as many tasks as fit now, on drained workers first.
+    fn gather(&mut self, hold: &mut Hold, size: Size, tasks: usize) {
+        for key in hold.drained.clone() {
+            let fits = |w: &Worker| w.up && !w.health.is_quarantined() && w.free().fits(size);
+            while hold.room.len() < tasks && fits(&self.workers[key.0 as usize]) {
+                self.keep(key, size);
+                hold.room.push((key, size));
+            }
+        }
+        while hold.room.len() < tasks {
+            let Some(key) = self.index().tightest(size) else {
+                return;
+            };
+            self.keep(key, size);
+            hold.room.push((key, size));
+        }
+    }
+
+    // Chooses the emptiest workers that, once free, have room for what is lacking.
+    fn drain(&mut self, hold: &mut Hold, size: Size, tasks: usize) {
+        let room_on = |worker: &Worker| {
+            let unkept = worker.total.minus(worker.kept);
+            let later = Worker::times(unkept, size);
+            let now = Worker::times(unkept.minus(worker.reserved), size);
+            later.saturating_sub(now) as usize
+        };
+        let planned: usize = hold
+            .drained
+            .iter()
+            .map(|key| room_on(&self.workers[key.0 as usize]))
+            .sum();
+        let mut lacking = tasks.saturating_sub(hold.room.len() + planned);
+        let mut candidates: Vec<(u64, WorkerKey)> = (0u32..)
+            .zip(&self.workers)
+            .filter(|(_, w)| w.is_open() && room_on(w) > 0)
+            .map(|(at, w)| (w.reserved.cpu_milli, WorkerKey(at)))
+            .collect();
+        candidates.sort_unstable();
+        for (_, key) in candidates {
+            if lacking == 0 {
+                return;
+            }
+            let worker = &mut self.workers[key.0 as usize];
+            lacking = lacking.saturating_sub(room_on(worker));
+            worker.draining = true;
+            hold.drained.push(key);
+            self.refresh(key);
         }
-        for (key, size) in room {
+    }
+
+    fn let_go(&mut self, hold: Hold) {
+        for (key, size) in hold.room {
             self.unkeep(key, size);
         }
+        for key in hold.drained {
+            self.workers[key.0 as usize].draining = false;
+            self.refresh(key);
+        }
     }
 
     fn keep(&mut self, key: WorkerKey, size: Size) {
@@ -102,9 +159,7 @@
     /// Gives up the room that is kept.
     pub(super) fn release_hold(&mut self) {
         if let Some(hold) = self.hold.take() {
-            for (key, size) in hold.room {
-                self.unkeep(key, size);
-            }
+            self.let_go(hold);
         }
     }
 
--- a/src/core/fleet/poll.rs
+++ b/src/core/fleet/poll.rs
@@ -54,6 +54,8 @@
     pub task: Task,
     /// Number of its run.
     pub attempt: u64,
+    /// Size in the order to start it.
+    pub size: Size,
     /// What it uses, if measured.
     #[serde(default)]
     pub used: Option<Size>,
@@ -377,8 +379,7 @@
             return false;
         }
         let team = job.team.clone();
-        let size = job.size;
-        self.seat(now, key, run.task, run.attempt, size);
+        self.seat(now, key, run.task, run.attempt, run.size);
         self.adopted_units.push(team);
         true
     }
@@ -473,6 +474,7 @@
         tasks: Default::default(),
         held: Default::default(),
         kept: Size::default(),
+        draining: false,
         starts: Default::default(),
         stops: Default::default(),
         acks: Vec::new(),
--- a/src/core/fleet/relief.rs
+++ b/src/core/fleet/relief.rs
@@ -11,7 +11,7 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        self.estimates.record(&job.team, &job.spec.name, used);
+        self.estimates.record(&job.team, &job.spec, used);
         let Some(placement) = job.placed.get_mut(&task.index) else {
             return;
         };
--- a/src/core/fleet/worker.rs
+++ b/src/core/fleet/worker.rs
@@ -41,6 +41,8 @@
     pub held: BTreeMap<Task, Size>,
     /// Room kept for tasks that start all at once.
     pub kept: Size,
+    /// Whether it gets nothing new until an all-at-once job has room.
+    pub draining: bool,
     /// Starts to order.
     pub starts: BTreeMap<Task, Ordered>,
     /// Stops to order.
@@ -85,7 +87,7 @@
 
     /// Returns whether it may get new tasks.
     pub const fn is_open(&self) -> bool {
-        self.up && !self.health.is_quarantined()
+        self.up && !self.draining && !self.health.is_quarantined()
     }
 
     /// Returns what can be given to new tasks.
@@ -99,20 +101,22 @@
 
     /// Returns how many tasks of a size fit when it is empty.
     pub fn times_fits(&self, need: Size) -> u64 {
-        let times = |total: u64, need: u64| total.checked_div(need).unwrap_or(u64::MAX);
-        times(self.total.cpu_milli, need.cpu_milli)
-            .min(times(self.total.memory_mb, need.memory_mb))
-            .min(times(self.total.accelerators, need.accelerators))
+        Self::times(self.total, need)
+    }
+
+    /// Returns how many tasks of a size fit into an amount.
+    pub fn times(amount: Size, need: Size) -> u64 {
+        let times = |amount: u64, need: u64| amount.checked_div(need).unwrap_or(u64::MAX);
+        times(amount.cpu_milli, need.cpu_milli)
+            .min(times(amount.memory_mb, need.memory_mb))
+            .min(times(amount.accelerators, need.accelerators))
             .min(u64::from(u32::MAX))
     }
 
     /// Orders a task to start.
     pub fn order_start(&mut self, start: Start) {
-        let ordered = Ordered {
-            start: start.clone(),
-            reply: 0,
-        };
-        self.starts.insert(start.task, ordered);
+        let task = start.task;
+        self.starts.insert(task, Ordered { start, reply: 0 });
     }
 
     /// Orders a task to stop.
--- a/src/http/jobs.rs
+++ b/src/http/jobs.rs
@@ -120,16 +120,14 @@
             Ok(Answer::Admission {
                 misfit: None,
                 free_milli,
-            }) => {
-                if best.as_ref().is_none_or(|(free, _)| free_milli > *free) {
-                    best = Some((free_milli, zone));
-                }
+            }) if best.as_ref().is_none_or(|(free, _)| free_milli > *free) => {
+                best = Some((free_milli, zone));
             }
             Ok(Answer::Admission {
                 misfit: Some(reason),
                 ..
             }) => misfits.push(format!("{zone}: {reason}")),
-            // A zone that cannot be reached takes no part.
+            // A zone with less room, or one that cannot be reached.
             _ => {}
         }
     }
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -51,6 +51,7 @@
 #[derive(Debug)]
 struct Running {
     attempt: u64,
+    size: Size,
     until: Option<Instant>,
 }
 
@@ -128,6 +129,7 @@
                 .map(|(&task, run)| RunReport {
                     task,
                     attempt: run.attempt,
+                    size: run.size,
                     used: None,
                 })
                 .collect(),
@@ -169,6 +171,7 @@
             let length = Duration::from_millis(start.run_ms);
             let run = Running {
                 attempt: start.attempt,
+                size: start.size,
                 until: (start.run_ms > 0).then(|| Instant::now() + length),
             };
             self.running.insert(start.task, run);
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,714 @@
+//! The task plane under seeded workloads: silent, restarted and failing workers,
+//! lost answers, wrong sizes, waves of cancellations, changes of leader.
+//!
+//! A longer run: `SCHEDULES=2000 cargo test --release --test fleet`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use plantaincross::config::{Source, merge};
+use plantaincross::core::fleet::{
+    EndReport, Fleet, How, Orders, Poll, Reason, RunReport, WORKER_LEASE,
+};
+use plantaincross::core::job::{
+    Class, Ended, Id, Job, Size, Spec, State, Table, Task, Unreachable,
+};
+use plantaincross::core::registry::Outcome;
+use plantaincross::core::time::Moment;
+use plantaincross::event::Event;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const TICK: Duration = Duration::from_millis(100);
+const START: Moment = Moment::from_millis(1_000_000);
+const LIMIT: u64 = 40;
+const TEAMS: [&str; 3] = ["a", "b", "c"];
+
+struct Run {
+    attempt: u64,
+    until: Moment,
+    used: Size,
+    size: Size,
+}
+
+/// A worker that keeps the rules of the platform's protocol.
+struct Machine {
+    name: String,
+    size: Size,
+    incarnation: u64,
+    number: u64,
+    seen: u64,
+    lease_until: Moment,
+    running: BTreeMap<Task, Run>,
+    ended: Vec<EndReport>,
+    silent_until: Moment,
+    fails: bool,
+    failed: u32,
+}
+
+impl Machine {
+    fn new(at: usize) -> Self {
+        Self {
+            name: format!("w{at}"),
+            size: Size {
+                cpu_milli: 8_000,
+                memory_mb: 16_000,
+                accelerators: u64::from(at % 4 == 0),
+            },
+            incarnation: 1,
+            number: 0,
+            seen: 0,
+            lease_until: START,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            silent_until: START,
+            fails: false,
+            failed: 0,
+        }
+    }
+
+    fn poll(&mut self) -> Poll {
+        self.number += 1;
+        Poll {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+            zone: "z".to_owned(),
+            rack: format!("r{}", self.name.len()),
+            size: self.size,
+            number: self.number,
+            seen: self.seen,
+            running: self
+                .running
+                .iter()
+                .map(|(&task, run)| RunReport {
+                    task,
+                    attempt: run.attempt,
+                    size: run.size,
+                    used: Some(run.used),
+                })
+                .collect(),
+            ended: self.ended.clone(),
+            wait_ms: 0,
+        }
+    }
+
+    fn carry_out(&mut self, now: Moment, sent: Moment, orders: Orders, world: &World) {
+        self.seen = orders.number;
+        self.lease_until = sent + Duration::from_millis(orders.lease_ms);
+        self.ended
+            .retain(|e| !orders.ended.contains(&(e.task, e.attempt)));
+        for stop in orders.stop {
+            if stop.how == How::Throttle {
+                continue;
+            }
+            let runs = self
+                .running
+                .get(&stop.task)
+                .is_some_and(|run| run.attempt == stop.attempt);
+            if runs {
+                self.end(stop.task, false, true);
+            } else if !self.has_ended(stop.task, stop.attempt) {
+                self.ended.push(EndReport {
+                    task: stop.task,
+                    attempt: stop.attempt,
+                    ok: false,
+                    evicted: true,
+                });
+            }
+        }
+        for start in orders.start {
+            let known = self.running.contains_key(&start.task);
+            if known || self.has_ended(start.task, start.attempt) || now >= self.lease_until {
+                continue;
+            }
+            let length = if start.run_ms == 0 {
+                Duration::from_secs(1_000_000)
+            } else {
+                Duration::from_millis(start.run_ms)
+            };
+            let run = Run {
+                attempt: start.attempt,
+                until: now + length,
+                used: world.real_size(start.task),
+                size: start.size,
+            };
+            self.running.insert(start.task, run);
+            if self.fails {
+                self.failed += 1;
+                self.end(start.task, false, false);
+            }
+        }
+    }
+
+    fn has_ended(&self, task: Task, attempt: u64) -> bool {
+        self.ended
+            .iter()
+            .any(|e| e.task == task && e.attempt == attempt)
+    }
+
+    fn end(&mut self, task: Task, ok: bool, evicted: bool) {
+        if let Some(run) = self.running.remove(&task) {
+            self.ended.push(EndReport {
+                task,
+                attempt: run.attempt,
+                ok,
+                evicted,
+            });
+        }
+    }
+
+    fn pass(&mut self, now: Moment) {
+        let over = now >= self.lease_until;
+        let due: Vec<Task> = self
+            .running
+            .iter()
+            .filter(|(_, run)| over || run.until <= now)
+            .map(|(&task, _)| task)
+            .collect();
+        for task in due {
+            self.end(task, !over, over);
+        }
+    }
+
+    fn restart(&mut self) {
+        self.incarnation += 1;
+        self.running.clear();
+        self.ended.clear();
+        self.seen = 0;
+        self.number = 0;
+    }
+}
+
+struct World {
+    seed: u64,
+    rng: ChaCha8Rng,
+    now: Moment,
+    fleet: Fleet,
+    term: u64,
+    table: Table,
+    machines: Vec<Machine>,
+    taken: BTreeMap<String, u64>,
+    oversize: bool,
+    unproposed: Vec<Ended>,
+    cancelled: BTreeSet<Id>,
+    quarantined: Vec<String>,
+}
+
+impl World {
+    fn new(seed: u64, machines: usize) -> Self {
+        let mut fleet = Fleet::new(1, true, START);
+        configure(&mut fleet);
+        Self {
+            seed,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: START,
+            fleet,
+            term: 1,
+            table: Table::default(),
+            machines: (0..machines).map(Machine::new).collect(),
+            taken: BTreeMap::new(),
+            oversize: false,
+            unproposed: Vec::new(),
+            cancelled: BTreeSet::new(),
+            quarantined: Vec::new(),
+        }
+    }
+
+    // What a task really uses: its declared size, or up to ten times off it.
+    fn real_size(&self, task: Task) -> Size {
+        let declared = self
+            .table
+            .get(task.job)
+            .map_or(Size::default(), |j| j.spec.size);
+        if !self.oversize {
+            return declared;
+        }
+        let factor = [1, 3, 5, 10, 100][(task.job.0 % 5) as usize];
+        Size {
+            cpu_milli: (declared.cpu_milli * factor / 10).max(10),
+            memory_mb: (declared.memory_mb * factor / 10).max(10),
+            accelerators: 0,
+        }
+    }
+
+    fn submit(&mut self, team: &str, spec: Spec) -> Id {
+        let job = Job {
+            id: Id(0),
+            team: team.to_owned(),
+            request: String::new(),
+            spec,
+            zone: "z".to_owned(),
+            state: State::Open,
+            ended: Vec::new(),
+            failures: 0,
+        };
+        let Outcome::Submitted(id) = self.table.submit(&job) else {
+            panic!("not submitted");
+        };
+        id
+    }
+
+    fn step(&mut self, lossy: bool) {
+        self.now = self.now + TICK;
+        let now = self.now;
+        self.sync();
+        self.supply();
+        self.fleet.tick(now);
+        self.settle();
+        let mut machines = std::mem::take(&mut self.machines);
+        for machine in &mut machines {
+            machine.pass(now);
+            if now < machine.silent_until {
+                continue;
+            }
+            let poll = machine.poll();
+            let lost = lossy && self.rng.random_ratio(1, 20);
+            if lost {
+                continue;
+            }
+            if self.fleet.poll(now, &poll).is_err() {
+                continue;
+            }
+            self.sync();
+            let orders = self.fleet.orders(now, &machine.name, true);
+            let answer_lost = lossy && self.rng.random_ratio(1, 20);
+            if let Some(orders) = orders.filter(|_| !answer_lost) {
+                machine.carry_out(now, now, orders, self);
+            }
+        }
+        self.machines = machines;
+        self.check();
+    }
+
+    fn sync(&mut self) {
+        self.unproposed.extend(self.fleet.take_ended());
+        for event in self.fleet.take_events() {
+            if let Event::WorkerQuarantined { worker, .. } = event {
+                self.quarantined.push(worker);
+            }
+        }
+        // The registry holds ends a little later.
+        if self.rng.random() {
+            let ends = std::mem::take(&mut self.unproposed);
+            self.table.end(&ends);
+            for end in ends {
+                self.fleet.confirm_end(end.task);
+            }
+        }
+        for job in self.table.open() {
+            self.fleet.add_job(self.now, job);
+        }
+        let known: Vec<Id> = self.fleet.job_ids().collect();
+        for id in known {
+            if self.table.get(id).is_none_or(|j| j.state != State::Open) {
+                self.fleet.drop_job(self.now, id);
+            }
+        }
+    }
+
+    fn supply(&mut self) {
+        for team in self.fleet.take_adopted() {
+            *self.taken.entry(team).or_default() += 1;
+        }
+        self.settle();
+        for (team, wanted) in self.fleet.wanted_units() {
+            let taken = self.taken.entry(team.clone()).or_default();
+            let units = wanted.min(LIMIT.saturating_sub(*taken));
+            *taken += units;
+            self.fleet.add_units(&team, units, wanted);
+        }
+    }
+
+    fn settle(&mut self) {
+        for (team, units) in self.fleet.return_stock() {
+            let taken = self.taken.entry(team).or_default();
+            *taken = taken.checked_sub(units).expect("returns what was taken");
+        }
+    }
+
+    fn change_leader(&mut self) {
+        self.term += 1;
+        self.fleet = Fleet::new(self.term, false, self.now);
+        configure(&mut self.fleet);
+        self.taken.clear();
+        self.unproposed.clear();
+    }
+
+    fn check(&self) {
+        let seed = self.seed;
+        let mut places: BTreeMap<Task, u32> = BTreeMap::new();
+        for machine in &self.machines {
+            for task in machine.running.keys() {
+                *places.entry(*task).or_default() += 1;
+            }
+        }
+        for (task, count) in places {
+            assert!(
+                count <= 1,
+                "seed {seed}: task {task} runs in {count} places"
+            );
+        }
+        for worker in self.fleet.workers() {
+            let stat = worker.stat();
+            assert!(
+                stat.total.fits(stat.reserved),
+                "seed {seed}: {} has {:?} of {:?} reserved",
+                stat.name,
+                stat.reserved,
+                stat.total
+            );
+        }
+        if self.oversize {
+            return;
+        }
+        for machine in &self.machines {
+            let used = machine
+                .running
+                .values()
+                .fold(Size::default(), |sum, run| sum.plus(run.used));
+            assert!(
+                machine.size.fits(used),
+                "seed {seed}: {} runs {used:?}",
+                machine.name
+            );
+        }
+    }
+
+    fn check_limits(&self) {
+        let mut running: BTreeMap<&str, u64> = BTreeMap::new();
+        for machine in &self.machines {
+            for task in machine.running.keys() {
+                let team = self.table.get(task.job).map_or("", |job| &job.team);
+                *running.entry(team).or_default() += 1;
+            }
+        }
+        for (team, count) in running {
+            assert!(count <= LIMIT, "seed {}: {team} runs {count}", self.seed);
+        }
+    }
+
+    fn disturb(&mut self) {
+        let count = self.machines.len();
+        let at = self.rng.random_range(0..count);
+        match self.rng.random_range(0..60) {
+            0 => {
+                let length = Duration::from_millis(self.rng.random_range(500..20_000));
+                self.machines[at].silent_until = self.now + length;
+            }
+            1 => self.machines[at].restart(),
+            2 => self.change_leader(),
+            3 => {
+                // A wave of cancellations.
+                let open: Vec<Id> = self.table.open().map(|job| job.id).collect();
+                for id in open {
+                    if self.rng.random_ratio(1, 3) {
+                        self.table.cancel(id, None);
+                        self.cancelled.insert(id);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn random_spec(&mut self) -> Spec {
+        let class = match self.rng.random_range(0..6) {
+            0 => Class::AllAtOnce,
+            _ => Class::Batch,
+        };
+        Spec {
+            tasks: self.rng.random_range(1..8),
+            size: Size {
+                cpu_milli: self.rng.random_range(200..3_000),
+                memory_mb: self.rng.random_range(100..5_000),
+                accelerators: u64::from(self.rng.random_ratio(1, 20)),
+            },
+            run_ms: self.rng.random_range(200..5_000),
+            urgent: self.rng.random_ratio(1, 10),
+            unreachable: Unreachable::Replace,
+            ..spec("job", class, 1)
+        }
+    }
+}
+
+fn configure(fleet: &mut Fleet) {
+    let text = TEAMS.map(|t| format!("[team {t}]\nshare = 1\nlimit = {LIMIT}\n"));
+    let source = Source {
+        name: "a.ini".to_owned(),
+        text: text.concat(),
+    };
+    fleet.configure(&merge(&[source]).expect("merges"));
+}
+
+fn spec(name: &str, class: Class, tasks: u32) -> Spec {
+    Spec {
+        name: name.to_owned(),
+        class,
+        tasks,
+        size: Size {
+            cpu_milli: 1_000,
+            memory_mb: 1_000,
+            accelerators: 0,
+        },
+        queue: String::new(),
+        run_ms: 1_000,
+        urgent: false,
+        deadline_ms: 0,
+        worth: 0,
+        rerun: true,
+        unreachable: Unreachable::Replace,
+    }
+}
+
+fn schedule(seed: u64) {
+    let mut world = World::new(seed, 6);
+    for step in 0..900 {
+        if step % 10 == 0 {
+            let team = TEAMS[world.rng.random_range(0..TEAMS.len())];
+            let spec = world.random_spec();
+            // What can never run is refused before it is registered.
+            if world.fleet.misfit(&spec).is_none() {
+                world.submit(team, spec);
+            }
+        }
+        world.disturb();
+        world.step(true);
+        world.check_limits();
+    }
+    // Everything that was accepted ends whole or was cancelled.
+    for machine in &mut world.machines {
+        machine.silent_until = START;
+    }
+    for _ in 0..4_000 {
+        if world.table.open().next().is_none() {
+            break;
+        }
+        world.step(false);
+        world.check_limits();
+    }
+    let open: Vec<String> = world
+        .table
+        .open()
+        .map(|job| format!("{job:?} {:?}", world.fleet.explain(world.now, job.id)))
+        .collect();
+    assert!(
+        open.is_empty(),
+        "seed {seed}: {} jobs never ended: {}",
+        open.len(),
+        open[0]
+    );
+    for job in world.table.iter() {
+        let whole = job.state == State::Done && job.ended_count() == job.spec.tasks;
+        let cancelled = job.state == State::Cancelled && world.cancelled.contains(&job.id);
+        assert!(whole || cancelled, "seed {seed}: {job:?}");
+    }
+}
+
+#[test]
+fn schedules_keep_all_promises() {
+    let total: u64 = std::env::var("SCHEDULES")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(100);
+    for seed in 0..total {
+        schedule(seed);
+    }
+}
+
+#[test]
+fn failing_worker_is_set_aside_without_hurting_jobs() {
+    let mut world = World::new(1, 6);
+    world.machines[2].fails = true;
+    let id = world.submit("a", spec("job", Class::Batch, 60));
+    for _ in 0..300 {
+        world.step(false);
+    }
+    assert!(
+        world.machines[2].failed <= 8,
+        "{} failed starts",
+        world.machines[2].failed
+    );
+    assert!(world.quarantined.iter().all(|name| name == "w2"));
+    assert!(!world.quarantined.is_empty());
+    let job = world.table.get(id).expect("known");
+    assert_eq!(job.state, State::Done, "{job:?}");
+}
+
+#[test]
+fn crash_looping_job_backs_off_and_leaves_workers_alone() {
+    let mut world = World::new(2, 6);
+    for machine in &mut world.machines {
+        machine.fails = true;
+    }
+    let id = world.submit("a", spec("loop", Class::Batch, 1));
+    for _ in 0..600 {
+        world.step(false);
+    }
+    let failed: u32 = world.machines.iter().map(|m| m.failed).sum();
+    assert!(failed < 20, "{failed} starts in a minute");
+    let explanation = world.fleet.explain(world.now, id).expect("open");
+    assert!(
+        explanation
+            .reasons
+            .iter()
+            .any(|r| matches!(r, Reason::Backoff { .. } | Reason::Quarantine { .. })),
+        "{explanation:?}"
+    );
+}
+
+#[test]
+fn urgent_work_starts_at_once_on_a_full_fleet() {
+    let mut world = World::new(3, 6);
+    let mut low = spec("low", Class::Batch, 24);
+    low.size.cpu_milli = 2_000;
+    low.run_ms = 600_000;
+    world.submit("a", low);
+    for _ in 0..20 {
+        world.step(false);
+    }
+    let (running, _) = world.fleet.counts();
+    assert_eq!(running, 24);
+    let mut urgent = spec("urgent", Class::Batch, 2);
+    urgent.urgent = true;
+    urgent.size.cpu_milli = 4_000;
+    let id = world.submit("b", urgent);
+    let mut started = None;
+    for step in 0..19 {
+        world.step(false);
+        let runs = |m: &Machine| m.running.keys().filter(|t| t.job == id).count();
+        if world.machines.iter().map(runs).sum::<usize>() == 2 {
+            started = Some(step);
+            break;
+        }
+    }
+    // 1.9 s are 19 steps.
+    assert!(
+        started.is_some(),
+        "{:?}",
+        world.fleet.explain(world.now, id)
+    );
+}
+
+#[test]
+fn all_at_once_job_starts_whole_under_a_stream_of_small_ones() {
+    let mut world = World::new(4, 6);
+    let mut gang = spec("gang", Class::AllAtOnce, 6);
+    gang.size.cpu_milli = 8_000;
+    let mut id = None;
+    let mut small = 0;
+    for step in 0..1_200 {
+        if step % 2 == 0 {
+            let mut stream = spec("small", Class::Batch, 1);
+            stream.run_ms = 2_000;
+            stream.size.cpu_milli = 2_000;
+            world.submit("a", stream);
+        }
+        if step == 50 {
+            id = Some(world.submit("b", gang.clone()));
+        }
+        world.step(false);
+        let Some(id) = id else {
+            continue;
+        };
+        let count = world
+            .machines
+            .iter()
+            .flat_map(|m| m.running.keys())
+            .filter(|t| t.job == id)
+            .count();
+        small += usize::from(count > 0 && count < 6);
+        if world.table.get(id).is_some_and(|j| j.state == State::Done) {
+            // Tasks of one job start and end within a few ticks of each other.
+            assert!(small <= 6, "{small} steps with a part of the tasks");
+            return;
+        }
+    }
+    panic!("{:?}", id.and_then(|id| world.fleet.explain(world.now, id)));
+}
+
+#[test]
+fn wrong_sizes_are_corrected_and_workers_relieved() {
+    let mut world = World::new(5, 6);
+    world.oversize = true;
+    for at in 0..40 {
+        let name = format!("n{}", at % 5);
+        let mut one = spec(&name, Class::Batch, 4);
+        one.size.memory_mb = 300;
+        one.size.cpu_milli = 300;
+        one.run_ms = 3_000;
+        world.submit(TEAMS[at % 3], one);
+    }
+    let mut over = 0;
+    for _ in 0..1_500 {
+        world.step(false);
+        for machine in &world.machines {
+            let used = machine
+                .running
+                .values()
+                .fold(Size::default(), |sum, run| sum.plus(run.used));
+            over += u32::from(used.memory_mb > machine.size.memory_mb);
+        }
+    }
+    assert!(over < 60, "{over} times a worker stood over its memory");
+    assert!(
+        world.table.open().next().is_none(),
+        "{:?}",
+        world.table.open().next()
+    );
+}
+
+#[test]
+fn kept_task_waits_for_its_silent_worker() {
+    let mut world = World::new(6, 2);
+    let mut keep = spec("keep", Class::Service, 1);
+    keep.unreachable = Unreachable::Keep;
+    let id = world.submit("a", keep);
+    for _ in 0..20 {
+        world.step(false);
+    }
+    let at = world
+        .machines
+        .iter()
+        .position(|m| !m.running.is_empty())
+        .expect("runs");
+    world.machines[at].silent_until = world.now + WORKER_LEASE * 5;
+    for _ in 0..150 {
+        world.step(false);
+    }
+    let explanation = world.fleet.explain(world.now, id).expect("open");
+    assert_eq!(explanation.reasons, [Reason::Unreachable { tasks: 1 }]);
+    for _ in 0..200 {
+        world.step(false);
+    }
+    assert!(world.machines.iter().any(|m| !m.running.is_empty()));
+}
+
+#[test]
+fn wave_of_cancellations_stops_everything() {
+    let mut world = World::new(7, 6);
+    let ids: Vec<Id> = (0..1_000)
+        .map(|at| {
+            let mut ten = spec("wave", Class::Batch, 10);
+            ten.run_ms = 100_000;
+            world.submit(TEAMS[at % 3], ten)
+        })
+        .collect();
+    for _ in 0..10 {
+        world.step(false);
+    }
+    assert!(world.fleet.counts().0 > 0);
+    for id in ids {
+        world.table.cancel(id, None);
+    }
+    for _ in 0..5 {
+        world.step(false);
+    }
+    assert_eq!(world.fleet.counts(), (0, 0));
+    assert!(world.machines.iter().all(|m| m.running.is_empty()));
+    assert!(
+        world
+            .fleet
+            .workers()
+            .all(|w| w.stat().reserved == Size::default())
+    );
+}
