Prove the request plane with real daemons, kills, pauses and bad upstreams

Cause: the promises to callers had only been driven inside one process. The new tests found that a repeat refused before its claim was looked up (by then its key could not be verified) said not_run although the first try had run. Conclusion: not_run is now said only where nothing under the id can have run.

--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -11,12 +11,12 @@
 use tokio::time::timeout;
 
 use super::App;
-use super::headers::{bearer, wish};
+use super::headers::{bearer, id as request_id, wish};
 use super::proxy::{Incoming, Whole, is_hop_header};
 use super::reply::{REQUEST_ID, Refused, json};
 use crate::clock::wall_millis;
 use crate::config::Config;
-use crate::error::{Error, Kind, Result};
+use crate::error::{Error, Kind, Result, Run};
 
 /// Longest time for a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -58,6 +58,7 @@
 
 async fn take(app: &App, service: &str, path: &str, request: Request) -> Response {
     let minted = app.node.traffic.mint();
+    let repeatable = matches!(request_id(request.headers()), Ok(Some(_)));
     match accept(app, service, path, request, &minted).await {
         Ok(incoming) => {
             let id = incoming.id.clone();
@@ -66,10 +67,21 @@
                 Err(refused) => refused.into_response(),
             }
         }
-        Err(refused) => refused.into_response(),
+        Err(mut refused) => {
+            if repeatable && may_have_run(refused.error.kind) {
+                refused.run = Some(Run::Unknown);
+            }
+            refused.into_response()
+        }
     }
 }
 
+// Before its claim is looked up, nobody knows whether an id of the caller's choice
+// ran at an earlier try. Without a team or a service there was no such try.
+const fn may_have_run(kind: Kind) -> bool {
+    !matches!(kind, Kind::Unauthenticated | Kind::UnknownService)
+}
+
 async fn accept(
     app: &App,
     service: &str,
--- a/src/standin/upstream.rs
+++ b/src/standin/upstream.rs
@@ -10,6 +10,7 @@
 use axum::extract::{Request, State};
 use axum::http::{HeaderMap, HeaderValue, StatusCode};
 use axum::response::Response;
+use futures_util::StreamExt;
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpListener;
@@ -19,6 +20,8 @@
 use crate::client::Client;
 use crate::error::Result;
 
+/// Time between the first part of a short answer and its end.
+const CUT_AFTER: Duration = Duration::from_millis(50);
 /// Interval of heartbeats.
 const ANNOUNCE_EVERY: Duration = Duration::from_millis(400);
 /// Longest wait for an answer to a heartbeat.
@@ -331,7 +334,11 @@
             Response::new(Body::empty())
         }
         Behaviour::Short => {
-            let part = futures_util::stream::iter([Ok(text), Err(std::io::Error::other("cut"))]);
+            let cut = futures_util::stream::once(async {
+                sleep(CUT_AFTER).await;
+                Err(std::io::Error::other("cut"))
+            });
+            let part = futures_util::stream::iter([Ok(text)]).chain(cut);
             Response::new(Body::from_stream(part))
         }
         Behaviour::Crossed => Response::new(Body::from(text)),
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -427,16 +427,16 @@
                     for _ in 0..3 {
                         self.submit(at);
                     }
-                } else if self.hosts[at].control.is_none() && ticks % 80 == 0 {
+                } else if self.hosts[at].control.is_none() && ticks.is_multiple_of(80) {
                     self.start(at);
                 }
             }
-            if ticks % 16 == 0 {
+            if ticks.is_multiple_of(16) {
                 for upstream in 0..4 {
                     self.announce(upstream);
                 }
             }
-            if ticks % 20 == 0 {
+            if ticks.is_multiple_of(20) {
                 self.link_up();
             }
             if disturbed {
--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -85,7 +85,7 @@
 impl Cluster {
     fn new(seed: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let count = if seed % 3 == 0 { 5 } else { 3 };
+        let count = if seed.is_multiple_of(3) { 5 } else { 3 };
         let loss = rng.random_range(0..30);
         let hosts = (1..=count + 1)
             .map(|id| {
@@ -164,7 +164,7 @@
             let replica = self.hosts[at].replica.as_mut().expect("running");
             replica.persisted(now);
             for message in ready.messages {
-                self.post(message);
+                self.post(&message);
             }
             if let Some(snapshot) = ready.snapshot {
                 self.hosts[at].applied = snapshot.index;
@@ -206,7 +206,7 @@
         }
     }
 
-    fn post(&mut self, message: Raft) {
+    fn post(&mut self, message: &Raft) {
         let targets: Vec<u64> = if message.to == 0 {
             self.hosts.iter().map(|h| h.id).collect()
         } else {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -53,7 +53,7 @@
             size: Size {
                 cpu_milli: 8_000,
                 memory_mb: 16_000,
-                accelerators: u64::from(at % 4 == 0),
+                accelerators: u64::from(at.is_multiple_of(4)),
             },
             incarnation: 1,
             number: 0,
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,366 @@
+//! A cell of real daemons on loopback, one process each, for tests.
+#![allow(dead_code)]
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Response;
+use plantaincross::client::Client;
+use plantaincross::cmd::push::push;
+use plantaincross::config::Source;
+use plantaincross::core::control::Status;
+use plantaincross::http::{GiveBody, operator_token};
+use plantaincross::standin::{Plan, Upstream};
+use plantaincross::util::sha256;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+pub const SECRET: &[u8] = b"a secret for tests only";
+/// Longest wait for something that must happen. Far above what it takes, so that
+/// a slow machine gives the same verdict.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Teams `big` and `small` and the service `orders`.
+pub const CONFIG: &str = "[cell]\nclaim-retention = 60s\n\
+    [team big]\nshare = 3\nlimit = 100\n[team small]\nshare = 1\nlimit = 100\n\
+    [service orders]\ndeadline = 20s\nrun-limit = 2s\nanswer-limit = 64KB\nbody-limit = 16KB\n";
+
+/// A folder that is removed at the end of its test.
+pub struct Folder(PathBuf);
+
+impl Folder {
+    pub fn new() -> Self {
+        let name = format!("plantaincross-test-{:016x}", rand::random::<u64>());
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path).expect("folder");
+        Self(path)
+    }
+
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// One daemon of a test cell.
+pub struct Instance {
+    pub name: String,
+    pub zone: String,
+    pub http: SocketAddr,
+    pub peer: SocketAddr,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+impl Instance {
+    fn spawn(&mut self) {
+        let child = Command::new(env!("CARGO_BIN_EXE_plantaincrossd"))
+            .arg("--settings")
+            .arg(&self.settings)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("daemon starts");
+        self.child = Some(child);
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.as_ref().expect("runs").id().to_string();
+        let sent = Command::new("kill").args([name, &pid]).status();
+        assert!(sent.is_ok_and(|status| status.success()));
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+pub struct Cell {
+    pub folder: Folder,
+    pub instances: Vec<Instance>,
+    pub upstreams: Mutex<Vec<Upstream>>,
+    pub token: CancellationToken,
+}
+
+impl Cell {
+    /// Starts instances in the given zones; the first three found the root group.
+    pub async fn start(zones: &[&str]) -> Self {
+        let folder = Folder::new();
+        std::fs::write(folder.path().join("secret"), SECRET).expect("secret");
+        let addresses: Vec<(SocketAddr, SocketAddr)> =
+            zones.iter().map(|_| (free_port(), free_port())).collect();
+        let seeds: Vec<String> = addresses.iter().map(|(_, p)| p.to_string()).collect();
+        let founders: Vec<String> = (0..zones.len().min(3)).map(|at| format!("i{at}")).collect();
+        let mut instances = Vec::new();
+        for (at, zone) in zones.iter().enumerate() {
+            let name = format!("i{at}");
+            let (http, peer) = addresses[at];
+            let mut text =
+                format!("[instance]\nname = {name}\nzone = {zone}\nhttp = {http}\npeer = {peer}\n");
+            let path = folder.path().join(&name);
+            if founders.contains(&name) {
+                text += &format!("data = {}\n", path.display());
+            }
+            text += &format!(
+                "log = {0}.log\n[cell]\nseeds = {1}\nfounders = {2}\nsecret-file = {3}\n\
+                 [drain]\nnotice = 500ms\n",
+                path.display(),
+                seeds.join(" "),
+                founders.join(" "),
+                folder.path().join("secret").display()
+            );
+            let settings = folder.path().join(format!("{name}.ini"));
+            std::fs::write(&settings, text).expect("settings");
+            let mut instance = Instance {
+                name,
+                zone: (*zone).to_owned(),
+                http,
+                peer,
+                settings,
+                child: None,
+            };
+            instance.spawn();
+            instances.push(instance);
+        }
+        Self {
+            folder,
+            instances,
+            upstreams: Mutex::default(),
+            token: CancellationToken::new(),
+        }
+    }
+
+    /// Starts a cell with the test configuration, keys and upstreams that serve.
+    pub async fn serving(zones: &[&str], upstreams: usize, service: Duration) -> Self {
+        let cell = Self::start(zones).await;
+        cell.configure(CONFIG).await;
+        cell.give("big", "big-key", None).await;
+        cell.give("small", "small-key", None).await;
+        let names: HashSet<&str> = zones.iter().copied().collect();
+        for zone in names {
+            for at in 0..upstreams {
+                cell.upstream(zone, &format!("u-{zone}-{at}"), 4, service)
+                    .await;
+            }
+        }
+        for at in 0..cell.instances.len() {
+            cell.wait_serving(at).await;
+        }
+        cell
+    }
+
+    pub async fn configure(&self, text: &str) {
+        let files = vec![Source {
+            name: "a.ini".to_owned(),
+            text: text.to_owned(),
+        }];
+        let mut operator = self.operator(0);
+        let started = Instant::now();
+        while let Err(err) = push(&mut operator, 0, "test", files.clone()).await {
+            assert!(started.elapsed() < PATIENCE, "no configuration: {err}");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    pub async fn give(&self, team: &str, secret: &str, home_zone: Option<&str>) {
+        let body = GiveBody {
+            id: secret.to_owned(),
+            team: team.to_owned(),
+            digest: hex::encode(sha256(secret.as_bytes())),
+            home_zone: home_zone.map(str::to_owned),
+        };
+        let mut operator = self.operator(0);
+        let () = operator
+            .call("POST", "/v1/keys", Some(&body))
+            .await
+            .expect("given");
+    }
+
+    pub async fn upstream(
+        &self,
+        zone: &str,
+        name: &str,
+        slots: u32,
+        service: Duration,
+    ) -> Upstream {
+        let plan = Plan {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            service: "orders".to_owned(),
+            slots,
+            connections: 64,
+            service_time: service,
+            counts: true,
+        };
+        let entries = self.instances.iter().map(|i| i.http).collect();
+        let upstream = Upstream::start(plan, entries, None, self.token.child_token())
+            .await
+            .expect("starts");
+        self.upstreams
+            .lock()
+            .expect("upstreams lock")
+            .push(upstream.clone());
+        upstream
+    }
+
+    pub fn all_upstreams(&self) -> Vec<Upstream> {
+        self.upstreams.lock().expect("upstreams lock").clone()
+    }
+
+    pub async fn wait_serving(&self, at: usize) {
+        let started = Instant::now();
+        loop {
+            let answer = self.get(at, "big-key").await;
+            if answer.as_ref().is_ok_and(|a| a.status().is_success()) {
+                return;
+            }
+            assert!(
+                started.elapsed() < PATIENCE,
+                "i{at} does not serve: {answer:?}"
+            );
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    pub fn client(&self, at: usize, key: &str) -> Client {
+        Client::new(self.instances[at].http, Some(key.to_owned()), PATIENCE)
+    }
+
+    pub fn operator(&self, at: usize) -> Client {
+        self.client(at, &operator_token(SECRET))
+    }
+
+    pub async fn get(&self, at: usize, key: &str) -> plantaincross::error::Result<Response<Bytes>> {
+        self.client(at, key)
+            .send("GET", "/v1/services/orders/x", &[], "")
+            .await
+    }
+
+    pub async fn order(
+        &self,
+        at: usize,
+        id: &str,
+        body: &str,
+    ) -> plantaincross::error::Result<Response<Bytes>> {
+        self.client(at, "big-key")
+            .send(
+                "POST",
+                "/v1/services/orders/order",
+                &[("idempotency-key", id)],
+                body.to_owned(),
+            )
+            .await
+    }
+
+    pub async fn status(&self, at: usize) -> Vec<Status> {
+        self.operator(at)
+            .call("GET", "/v1/status", None::<&()>)
+            .await
+            .unwrap_or_default()
+    }
+
+    /// Returns the position of the instance that leads a zone, once there is one.
+    pub async fn zone_leader(&self, from: usize, zone: &str) -> usize {
+        let started = Instant::now();
+        loop {
+            let all = self.status(from).await;
+            let leader = all.iter().find(|s| s.leads_zone && s.zone == zone);
+            if let Some(leader) = leader {
+                let at = self.instances.iter().position(|i| i.name == leader.name);
+                return at.expect("known instance");
+            }
+            assert!(started.elapsed() < PATIENCE, "zone {zone} has no leader");
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// How often each id was run, over all upstreams.
+    pub fn runs(&self, id: &str) -> u32 {
+        self.all_upstreams()
+            .iter()
+            .map(|u| u.ledger(|l| l.runs.get(id).copied().unwrap_or(0)))
+            .sum()
+    }
+
+    /// Fails if an upstream ever had more than its slots or connections in use.
+    pub fn check_capacity(&self) {
+        for upstream in self.all_upstreams() {
+            upstream.ledger(|l| {
+                assert!(
+                    l.most_running <= 4,
+                    "{} ran {}",
+                    upstream.name(),
+                    l.most_running
+                );
+                assert!(l.most_connections <= 64, "{}", l.most_connections);
+            });
+        }
+    }
+
+    /// Ends a daemon at once.
+    pub fn kill(&mut self, at: usize) {
+        let mut child = self.instances[at].child.take().expect("runs");
+        child.kill().expect("killed");
+        child.wait().expect("ended");
+    }
+
+    /// Starts a killed daemon again.
+    pub fn restart(&mut self, at: usize) {
+        self.instances[at].spawn();
+    }
+
+    /// Stops a daemon's threads where they are.
+    pub fn pause(&self, at: usize) {
+        self.instances[at].signal("-STOP");
+    }
+
+    /// Lets a paused daemon go on.
+    pub fn resume(&self, at: usize) {
+        self.instances[at].signal("-CONT");
+    }
+
+    /// Begins a planned stop of a daemon.
+    pub fn stop(&self, at: usize) {
+        self.instances[at].signal("-TERM");
+    }
+
+    /// Waits until a daemon has ended; yields whether it did so without an error.
+    pub async fn ended(&mut self, at: usize) -> bool {
+        let started = Instant::now();
+        let child = self.instances[at].child.as_mut().expect("was started");
+        loop {
+            if let Some(status) = child.try_wait().expect("waits") {
+                self.instances[at].child = None;
+                return status.success();
+            }
+            assert!(started.elapsed() < PATIENCE, "i{at} does not end");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+fn free_port() -> SocketAddr {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("port");
+    listener.local_addr().expect("address")
+}
+
+/// Returns the kind of a refusal and whether it ran.
+pub fn kind(body: &[u8]) -> (String, String) {
+    let value: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+    let text = |name: &str| value[name].as_str().unwrap_or_default().to_owned();
+    (text("kind"), text("run"))
+}
--- /dev/null
+++ b/tests/timed.rs
@@ -0,0 +1,129 @@
+//! Promises about real time, with real daemons. Their verdict depends on the
+//! machine, so they run by hand:
+//!
+//! `cargo test --release --test timed -- --ignored --test-threads 1`
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use plantaincross::standin::Behaviour;
+use support::{Cell, PATIENCE, kind};
+use tokio::time::{Instant, sleep};
+
+macro_rules! timed {
+    ($(async fn $name:ident() $body:block)*) => {
+        $(#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        #[ignore = "timed"]
+        async fn $name() $body)*
+    };
+}
+
+timed! {
+    async fn silent_upstream_costs_one_timeout_and_is_avoided() {
+        let cell = Cell::serving(&["a"], 3, Duration::from_millis(5)).await;
+        cell.all_upstreams()[0].behave(Behaviour::Silent);
+        let mut late = 0;
+        let mut client = cell.client(0, "big-key");
+        for _ in 0..60 {
+            let headers = [("x-deadline-ms", "400")];
+            let answer = client
+                .send("GET", "/v1/services/orders/x", &headers, "")
+                .await
+                .expect("answers");
+            late += u32::from(!answer.status().is_success());
+        }
+        assert!(late <= 4, "{late} of 60 requests met the silent upstream");
+        cell.check_capacity();
+    }
+
+    async fn deadline_is_answered_at_once_and_holds_the_slot() {
+        let cell = Cell::serving(&["a"], 1, Duration::from_millis(900)).await;
+        let mut client = cell.client(0, "big-key");
+        let started = Instant::now();
+        let headers = [("x-deadline-ms", "100")];
+        let answer = client
+            .send("POST", "/v1/services/orders/x", &headers, "")
+            .await
+            .expect("answers");
+        assert_eq!(kind(answer.body()), ("deadline_exceeded".into(), "unknown".into()));
+        assert!(started.elapsed() < Duration::from_millis(800));
+        let more = (0..12).map(|_| cell.get(0, "big-key"));
+        futures_util::future::join_all(more).await;
+        cell.check_capacity();
+    }
+
+    async fn leaving_upstream_gets_nothing_new() {
+        let cell = Cell::serving(&["a", "a"], 2, Duration::from_millis(5)).await;
+        let upstreams = cell.all_upstreams();
+        upstreams[0].leave(true);
+        sleep(Duration::from_millis(2_500)).await;
+        let before = upstreams[0].ledger(|l| l.runs.len());
+        for turn in 0..40 {
+            let answer = cell.get(turn % 2, "big-key").await.expect("answers");
+            assert!(answer.status().is_success(), "{answer:?}");
+        }
+        assert_eq!(upstreams[0].ledger(|l| l.runs.len()), before);
+    }
+
+    async fn withdrawn_key_is_dead_everywhere_within_two_seconds() {
+        let cell = Cell::serving(&["a", "b", "a", "b"], 1, Duration::from_millis(5)).await;
+        cell.give("small", "doomed", None).await;
+        for at in 0..4 {
+            let started = Instant::now();
+            while !cell.get(at, "doomed").await.is_ok_and(|a| a.status().is_success()) {
+                assert!(started.elapsed() < PATIENCE);
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+        let mut operator = cell.operator(2);
+        let body: plantaincross::http::WithdrawnBody = operator
+            .call("DELETE", "/v1/keys/doomed", None::<&()>)
+            .await
+            .expect("withdrawn");
+        assert!(body.accepted);
+        sleep(Duration::from_secs(2)).await;
+        for at in 0..4 {
+            let answer = cell.get(at, "doomed").await.expect("answers");
+            assert_eq!(kind(answer.body()), ("key_withdrawn".into(), "not_run".into()));
+        }
+    }
+
+    async fn flooding_team_does_not_delay_a_small_one() {
+        let cell = Cell::serving(&["a", "a"], 2, Duration::from_millis(20)).await;
+        // 16 slots of 20 ms; the big team asks for many times that.
+        let token = tokio_util::sync::CancellationToken::new();
+        let mut floods = Vec::new();
+        for at in 0..2 {
+            for _ in 0..60 {
+                let mut client = cell.client(at, "big-key");
+                let token = token.clone();
+                floods.push(tokio::spawn(async move {
+                    while !token.is_cancelled() {
+                        let _ = client.send("GET", "/v1/services/orders/x", &[], "").await;
+                    }
+                }));
+            }
+        }
+        sleep(Duration::from_millis(500)).await;
+        let mut waits = BTreeMap::new();
+        let mut client = cell.client(0, "small-key");
+        for at in 0..60 {
+            let started = Instant::now();
+            let answer = client
+                .send("GET", "/v1/services/orders/x", &[], "")
+                .await
+                .expect("answers");
+            assert!(answer.status().is_success(), "{answer:?}");
+            waits.insert(started.elapsed(), at);
+        }
+        token.cancel();
+        let slowest = *waits.keys().nth(57).expect("sixty");
+        // First come, first served would make it wait behind 120 requests.
+        assert!(slowest < Duration::from_millis(600), "{slowest:?}");
+        for flood in floods {
+            let _ = flood.await;
+        }
+    }
+}
