--- /dev/null
+++ b/tests/gate.rs
@@ -0,0 +1,313 @@
+//! Admission: order, fairness, deadlines, worth.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use plantaincross::core::claim::{Answer, Id, Record, State, Table, Verdict};
+use plantaincross::core::gate::{
+    Admission, Announcement, Assignment, Exchange, Gate, Request, ServiceKey, SourceKey, TeamKey,
+    Ticket, cell_of,
+};
+use plantaincross::core::registry::InstanceId;
+use plantaincross::core::time::Moment;
+use plantaincross::error::Kind;
+use plantaincross::util::cell_named;
+use plantaincross::wire::Balance;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const START: Moment = Moment::from_millis(1_000_000);
+/// Depth of a team that sends one request every ten milliseconds.
+const ONE_IN_TEN_MS: usize = usize::MAX;
+const MS: Duration = Duration::from_millis(1);
+
+struct Bench {
+    gate: Gate,
+    service: ServiceKey,
+    teams: Vec<TeamKey>,
+}
+
+impl Bench {
+    fn new(shares: &[u32], upstreams: u16, slots: u32) -> Self {
+        let mut gate = Gate::new();
+        let source = SourceKey(0);
+        gate.set_team_source(source);
+        gate.renew(source, Moment(u64::MAX));
+        let service = gate.put_service("s", 100_000);
+        let teams = (0..)
+            .zip(shares)
+            .map(|(at, &share)| {
+                let name = format!("t{at}");
+                let key = gate.put_team(&name, share);
+                let balance = Balance {
+                    cell: cell_named(&name).0,
+                    given: 1_000_000,
+                    returned: 0,
+                };
+                gate.receive_unit_balances(&[balance]);
+                key
+            })
+            .collect();
+        for at in 0..upstreams {
+            let announcement = Announcement {
+                name: format!("u{at}"),
+                incarnation: 1,
+                service: "s".to_owned(),
+                zone: "z".to_owned(),
+                address: ([127, 0, 0, 1], 1 + at).into(),
+                slots,
+                connections: 64,
+            };
+            let cell = cell_of(&announcement);
+            gate.put_upstream(announcement, source, false);
+            gate.receive_slots(cell, u64::from(slots));
+        }
+        Self {
+            gate,
+            service,
+            teams,
+        }
+    }
+
+    fn submit(&mut self, now: Moment, team: usize, worth: u64, deadline: Duration) -> Admission {
+        let request = Request {
+            team: self.teams[team],
+            service: self.service,
+            worth,
+            deadline: now + deadline,
+        };
+        self.gate.submit(now, request)
+    }
+
+    /// Lets every team keep `depth` requests waiting for `steps` of 1 ms, with
+    /// `service` per request; yields completed requests by team.
+    fn saturate(&mut self, depth: &[usize], service: Duration, steps: u32) -> Vec<u64> {
+        let mut running: Vec<(Moment, Assignment, usize)> = Vec::new();
+        let mut waiting: BTreeMap<Ticket, usize> = BTreeMap::new();
+        let mut counts = vec![0usize; depth.len()];
+        let mut done = vec![0; depth.len()];
+        for step in 0..steps {
+            let now = START + MS * step;
+            let (ended, rest): (Vec<_>, Vec<_>) = running.into_iter().partition(|r| r.0 <= now);
+            running = rest;
+            for (_, assignment, team) in ended {
+                self.gate.finish(now, assignment, Exchange::Answered);
+                done[team] += 1;
+            }
+            for team in 0..depth.len() {
+                let is_open = depth[team] == ONE_IN_TEN_MS;
+                let mut due = if is_open {
+                    usize::from(step % 10 == 0)
+                } else {
+                    usize::MAX
+                };
+                while due > 0 && counts[team] < depth[team] {
+                    due -= 1;
+                    match self.submit(now, team, 1, Duration::from_secs(3_600)) {
+                        Admission::Start(a) => running.push((now + service, a, team)),
+                        Admission::Wait { ticket, .. } => {
+                            waiting.insert(ticket, team);
+                            counts[team] += 1;
+                        }
+                        Admission::Refuse(_) => break,
+                    }
+                }
+            }
+            for (ticket, assignment) in self.gate.pump(now) {
+                let team = waiting.remove(&ticket).expect("waits");
+                counts[team] -= 1;
+                running.push((now + service, assignment, team));
+            }
+        }
+        done
+    }
+}
+
+fn near(got: u64, due: f64) -> bool {
+    (got as f64 - due).abs() <= due * 0.05
+}
+
+macro_rules! cases {
+    ($(fn $name:ident() $body:block)*) => { $(#[test] fn $name() $body)* };
+}
+
+cases! {
+    fn teams_get_their_shares_of_full_slots() {
+        let mut bench = Bench::new(&[3, 1, 1], 4, 8);
+        let done = bench.saturate(&[50, 50, 50], MS * 20, 4_000);
+        let total: u64 = done.iter().sum();
+        assert!(total as f64 > 32.0 * 4_000.0 / 20.0 * 0.95, "{total}");
+        for (got, part) in done.iter().zip([0.6, 0.2, 0.2]) {
+            assert!(near(*got, total as f64 * part), "{done:?}");
+        }
+    }
+
+    fn two_floods_leave_a_small_team_its_demand() {
+        let mut bench = Bench::new(&[1, 1, 1], 2, 8);
+        // 16 slots of 20 ms end 800 requests a second; the small team sends 100.
+        let done = bench.saturate(&[500, 500, ONE_IN_TEN_MS], MS * 20, 4_000);
+        let total: u64 = done.iter().sum();
+        assert!(near(done[2], 400.0), "{done:?}");
+        assert!(near(done[0], (total - done[2]) as f64 / 2.0), "{done:?}");
+    }
+
+    fn a_team_that_comes_back_claims_nothing_for_its_absence() {
+        let mut bench = Bench::new(&[1, 1], 2, 8);
+        bench.saturate(&[50, 0], MS * 20, 2_000);
+        let done = bench.saturate(&[50, 50], MS * 20, 2_000);
+        assert!(near(done[0], done.iter().sum::<u64>() as f64 / 2.0), "{done:?}");
+    }
+
+    fn most_worth_first_within_a_team() {
+        let mut bench = Bench::new(&[1], 1, 1);
+        let Admission::Start(first) = bench.submit(START, 0, 1, MS * 60_000) else {
+            panic!("starts");
+        };
+        let mut tickets = Vec::new();
+        for worth in [2, 9, 5] {
+            let Admission::Wait { ticket, .. } = bench.submit(START, 0, worth, MS * 60_000) else {
+                panic!("waits");
+            };
+            tickets.push(ticket);
+        }
+        bench.gate.finish(START, first, Exchange::Unsent);
+        let mut order = Vec::new();
+        while let Some((ticket, assignment)) = bench.gate.start_next(START, bench.service) {
+            order.push(tickets.iter().position(|t| *t == ticket).expect("known"));
+            bench.gate.finish(START, assignment, Exchange::Unsent);
+        }
+        assert_eq!(order, [1, 2, 0]);
+    }
+
+    fn worth_under_twofold_overload_stays_near_what_capacity_allows() {
+        let mut bench = Bench::new(&[1], 1, 8);
+        let mut rng = ChaCha8Rng::seed_from_u64(5);
+        let service = MS * 40;
+        let mut running: Vec<(Moment, Moment, Assignment, u64)> = Vec::new();
+        let mut waiting: BTreeMap<Ticket, (Moment, u64)> = BTreeMap::new();
+        let mut offered = Vec::new();
+        let mut gained = 0;
+        // 8 slots of 40 ms serve 200 a second; 400 come.
+        for step in 0..20_000u32 {
+            let now = START + MS * step;
+            let (ended, rest): (Vec<_>, Vec<_>) = running.into_iter().partition(|r| r.0 <= now);
+            running = rest;
+            for (end, deadline, assignment, worth) in ended {
+                bench.gate.finish(now, assignment, Exchange::Answered);
+                gained += if end <= deadline { worth } else { 0 };
+            }
+            for ticket in bench.gate.expire(now) {
+                waiting.remove(&ticket);
+            }
+            if rng.random_ratio(2, 5) {
+                let worth = rng.random_range(1..100);
+                let deadline = now + MS * rng.random_range(60..1_000);
+                offered.push(worth);
+                let request = Request { team: bench.teams[0], service: bench.service, worth, deadline };
+                match bench.gate.submit(now, request) {
+                    Admission::Start(a) => running.push((now + service, deadline, a, worth)),
+                    Admission::Wait { ticket, .. } => { waiting.insert(ticket, (deadline, worth)); }
+                    Admission::Refuse(_) => {}
+                }
+            }
+            for (ticket, assignment) in bench.gate.pump(now) {
+                let (deadline, worth) = waiting.remove(&ticket).expect("waits");
+                running.push((now + service, deadline, assignment, worth));
+            }
+        }
+        // An upper bound: the most worthy half of all that came.
+        offered.sort_unstable_by(|a, b| b.cmp(a));
+        let best: u64 = offered.iter().take(200 * 20).sum();
+        assert!(gained * 100 >= best * 90, "{gained} of {best}");
+    }
+
+    fn what_cannot_meet_its_deadline_is_refused_early() {
+        let mut bench = Bench::new(&[1], 1, 1);
+        bench.saturate(&[3], MS * 100, 1_000);
+        let now = START + MS * 1_000;
+        let admission = bench.submit(now, 0, 0, MS * 150);
+        assert!(matches!(admission, Admission::Refuse(r) if r.kind == Kind::DeadlineUnmeetable), "{admission:?}");
+    }
+
+    fn expired_allotment_starts_nothing() {
+        let mut bench = Bench::new(&[1], 1, 4);
+        let mut gate = Gate::new();
+        std::mem::swap(&mut gate, &mut bench.gate);
+        // The bench renews for ever; a new source with a short term does not.
+        let source = SourceKey(1);
+        gate.set_team_source(source);
+        gate.renew(source, START + MS);
+        bench.gate = gate;
+        assert!(matches!(bench.submit(START, 0, 1, MS * 900), Admission::Start(_)));
+        assert!(matches!(bench.submit(START + MS, 0, 1, MS * 900), Admission::Wait { .. }));
+    }
+
+    fn full_queue_keeps_the_more_worthy() {
+        let mut bench = Bench::new(&[1], 1, 1);
+        bench.gate.put_service("s", 2);
+        for worth in [5, 6, 7] {
+            bench.submit(START, 0, worth, MS * 60_000);
+        }
+        let low = bench.submit(START, 0, 1, MS * 60_000);
+        assert!(matches!(low, Admission::Refuse(r) if r.kind == Kind::Overloaded));
+        let high = bench.submit(START, 0, 9, MS * 60_000);
+        assert!(matches!(high, Admission::Wait { displaced: Some(_), .. }), "{high:?}");
+    }
+}
+
+const KEEP: Duration = Duration::from_secs(60);
+const OWNER: InstanceId = InstanceId(1);
+
+fn answer(body: &str) -> Answer {
+    Answer {
+        status: 200,
+        content_type: None,
+        body: body.into(),
+    }
+}
+
+cases! {
+    fn claim_is_granted_once_and_then_repeats_the_answer() {
+        let mut table = Table::default();
+        let id = Id::of("t", "1");
+        let claim = |table: &mut Table, body| table.claim(START, id, body, OWNER, None, KEEP);
+        assert_eq!(claim(&mut table, 7), Verdict::Granted);
+        assert_eq!(claim(&mut table, 7), Verdict::Refused(Kind::InProgress));
+        assert_eq!(claim(&mut table, 8), Verdict::Refused(Kind::IdReused));
+        table.finish(id, OWNER, Some(answer("a")));
+        assert_eq!(claim(&mut table, 7), Verdict::Repeat(answer("a")));
+        table.release(id, OWNER);
+        assert_eq!(claim(&mut table, 7), Verdict::Repeat(answer("a")));
+    }
+
+    fn lost_memory_refuses_ids_that_may_have_run() {
+        let mut table = Table::default();
+        table.lose_memory(START);
+        let mut claim = |now, request, minted| {
+            table.claim(now, Id::of("t", request), 1, OWNER, minted, KEEP)
+        };
+        let later = START + Duration::from_secs(10);
+        assert_eq!(claim(later, "chosen", None), Verdict::Refused(Kind::ClaimUnknown));
+        let old = Some(Duration::from_secs(11));
+        assert_eq!(claim(later, "old", old), Verdict::Refused(Kind::ClaimUnknown));
+        let young = Some(Duration::from_secs(9));
+        assert_eq!(claim(later, "young", young), Verdict::Granted);
+        assert_eq!(claim(START + KEEP, "chosen", None), Verdict::Granted);
+    }
+
+    fn minted_id_older_than_the_retention_never_runs() {
+        let mut table = Table::default();
+        let verdict = table.claim(START, Id::of("t", "1"), 1, OWNER, Some(KEEP), KEEP);
+        assert_eq!(verdict, Verdict::Refused(Kind::ClaimUnknown));
+    }
+
+    fn later_copy_replaces_an_earlier_one_only() {
+        let mut table = Table::default();
+        let id = Id::of("t", "1");
+        let record = |state| Record { id, body: 1, owner: OWNER, age: Duration::ZERO, state };
+        table.merge(START, vec![record(State::Answered(Some(answer("a"))))]);
+        table.merge(START, vec![record(State::Running)]);
+        let verdict = table.claim(START, id, 1, InstanceId(2), None, KEEP);
+        assert_eq!(verdict, Verdict::Repeat(answer("a")));
+    }
+}
