Measure and load a cell; do not take an own pause for silence of the peers

Cause: a time line of `local` started during a build showed a control thread held up for 2.5 s by a slow sync, after which it took all its peers for gone and linked to them anew. Ruled out: the links, which delivered all that time.

--- a/src/cmd/local.rs
+++ b/src/cmd/local.rs
@@ -206,12 +206,8 @@
 }
 
 fn spread(sockets: &[(String, String, TcpListener, TcpListener)], count: usize) -> Vec<String> {
-    let step = sockets.len().div_ceil(count);
-    sockets
-        .iter()
-        .step_by(step.max(1))
-        .take(count)
-        .map(|(name, ..)| name.clone())
+    (0..count)
+        .map(|at| sockets[at * sockets.len() / count].0.clone())
         .collect()
 }
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -19,6 +19,7 @@
 pub mod history;
 pub mod job;
 pub mod key;
+pub mod load;
 pub mod local;
 pub mod push;
 pub mod show;
@@ -45,6 +46,7 @@
     History(history::Args),
     Job(job::Args),
     Key(key::Args),
+    Load(load::Args),
     Local(local::Args),
     Push(push::Args),
     Show(show::Args),
@@ -90,6 +92,7 @@
         Command::History(args) => history::run(&args),
         Command::Job(args) => job::run(&args),
         Command::Key(args) => key::run(&args),
+        Command::Load(args) => load::run(&args),
         Command::Local(args) => local::run(&args),
         Command::Push(args) => push::run(&args),
         Command::Show(args) => show::run(&args),
--- a/src/core/control/mod.rs
+++ b/src/core/control/mod.rs
@@ -35,6 +35,8 @@
 const PING_EVERY: Duration = Duration::from_millis(500);
 /// A peer that was silent for this long is taken to be gone.
 pub const PEER_SILENCE_MAX: Duration = Duration::from_millis(2_500);
+/// A gap between ticks above this is a pause of this process.
+const OWN_PAUSE_MIN: Duration = Duration::from_millis(500);
 /// Interval at which withdrawals are proposed until they are committed.
 const WITHDRAW_EVERY: Duration = Duration::from_secs(1);
 /// A question is given up after this long.
@@ -173,6 +175,7 @@
     claims: BTreeMap<String, claim::Table>,
     copies: claims::Copies,
     leaving: bool,
+    ticked_at: Moment,
     effects: Vec<Effect>,
 }
 
@@ -219,6 +222,7 @@
             claims: BTreeMap::new(),
             copies: claims::Copies::default(),
             leaving: false,
+            ticked_at: now,
             effects: Vec::new(),
             me,
         };
@@ -337,6 +341,7 @@
     }
 
     fn tick(&mut self, now: Moment) {
+        self.forgive_own_pause(now);
         self.replica.tick(now);
         self.expire_peers(now);
         self.expire_calls(now);
@@ -387,6 +392,16 @@
         }
     }
 
+    // After a pause of this process nobody was heard; that says nothing of the peers.
+    fn forgive_own_pause(&mut self, now: Moment) {
+        if now.since(self.ticked_at) > OWN_PAUSE_MIN {
+            for known in self.peers.values_mut() {
+                known.heard = now;
+            }
+        }
+        self.ticked_at = now;
+    }
+
     fn expire_peers(&mut self, now: Moment) {
         let silent: Vec<InstanceId> = self
             .peers
--- a/src/core/gate/mod.rs
+++ b/src/core/gate/mod.rs
@@ -512,6 +512,13 @@
         &self.teams[key.0 as usize].name
     }
 
+    /// Returns the slots in use and those allotted, over all upstreams.
+    pub fn slots(&self) -> (u64, u64) {
+        self.upstreams.values().fold((0, 0), |(used, allowed), u| {
+            (used + u.holding.in_use(), allowed + u.holding.allowed())
+        })
+    }
+
     /// Returns whether something waits that this instance lacks slots or units for.
     pub fn is_starved(&self) -> bool {
         self.services.iter().any(|s| !s.queue.is_empty())
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -64,10 +64,14 @@
             let id = incoming.id.clone();
             match app.proxy.run(incoming).await {
                 Ok(answer) => whole(answer, &id),
-                Err(refused) => refused.into_response(),
+                Err(refused) => {
+                    app.node.traffic.metrics.refused(refused.error.kind);
+                    refused.into_response()
+                }
             }
         }
         Err(mut refused) => {
+            app.node.traffic.metrics.refused(refused.error.kind);
             if repeatable && may_have_run(refused.error.kind) {
                 refused.run = Some(Run::Unknown);
             }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -113,6 +113,7 @@
         .route("/v1/request-ids", post(callers::mint))
         .route("/healthz", get(|| async { "ok\n" }))
         .route("/readyz", get(operators::ready))
+        .route("/metrics", get(operators::metrics))
         .merge(control)
         .fallback(callers::unknown)
         .with_state(app)
--- a/src/http/operators.rs
+++ b/src/http/operators.rs
@@ -171,6 +171,18 @@
     "ready\n".into_response()
 }
 
+/// Returns the metrics.
+pub async fn metrics(State(app): State<App>) -> String {
+    let traffic = &app.node.traffic;
+    let (teams, slots) = {
+        let gate = traffic.gate.lock().expect("gate lock");
+        (gate.team_stats(), gate.slots())
+    };
+    traffic
+        .metrics
+        .encode(&teams, slots, &app.node.mesh.counters)
+}
+
 /// Takes a configuration.
 pub async fn push(State(app): State<App>, headers: HeaderMap, body: String) -> Response {
     let pushed = async {
--- a/src/http/proxy.rs
+++ b/src/http/proxy.rs
@@ -150,7 +150,11 @@
             }
         };
         let assignment = match self.admit(&incoming, &mut caller).await {
-            Ok(assignment) => assignment,
+            Ok(assignment) => {
+                let waited = self.node.traffic.clock.now().since(incoming.taken);
+                self.node.traffic.metrics.waited(waited);
+                assignment
+            }
             Err(refused) => {
                 self.settle_claim(claim, End::Released);
                 self.answer(&incoming, caller, Err(refused));
@@ -328,6 +332,7 @@
         }
         tokio::time::sleep(pause).await;
         let next = traffic.retry(last.service, last.team, last.upstream)?;
+        traffic.metrics.retried();
         traffic.record(Event::RequestRetried {
             request: incoming.id.clone(),
         });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod event;
 pub mod http;
 pub mod logs;
+pub mod metrics;
 pub mod net;
 pub mod node;
 pub mod settings;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,267 @@
+//! Metrics of one instance, in the Prometheus text format.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use crate::core::gate::TeamStat;
+use crate::core::share::{Claimant, shortfalls};
+use crate::core::time::Moment;
+use crate::error::Kind;
+use crate::net::Counters;
+
+/// Length of the window over which nearness to share is measured.
+const NEARNESS_WINDOW: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ByKind {
+    kind: String,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ByTeam {
+    team: String,
+}
+
+type Fraction = Gauge<f64, AtomicU64>;
+
+/// What one instance counts.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Mutex<Registry>,
+    waiting: Histogram,
+    refusals: Family<ByKind, Counter>,
+    retries: Counter,
+    completed: Family<ByTeam, Gauge>,
+    running: Family<ByTeam, Gauge>,
+    queued: Family<ByTeam, Gauge>,
+    units: Family<ByTeam, Gauge>,
+    slots_used: Gauge,
+    slots_granted: Gauge,
+    shortfall_max: Fraction,
+    shortfall_mean: Fraction,
+    messages_sent: Gauge,
+    bytes_sent: Gauge,
+    messages_received: Gauge,
+    bytes_received: Gauge,
+    nearness: Mutex<Nearness>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        // From 1 ms to about 16 s.
+        let waiting = Histogram::new(exponential_buckets(0.001, 2.0, 15));
+        let mut metrics = Self {
+            registry: Mutex::default(),
+            waiting,
+            refusals: Family::default(),
+            retries: Counter::default(),
+            completed: Family::default(),
+            running: Family::default(),
+            queued: Family::default(),
+            units: Family::default(),
+            slots_used: Gauge::default(),
+            slots_granted: Gauge::default(),
+            shortfall_max: Fraction::default(),
+            shortfall_mean: Fraction::default(),
+            messages_sent: Gauge::default(),
+            bytes_sent: Gauge::default(),
+            messages_received: Gauge::default(),
+            bytes_received: Gauge::default(),
+            nearness: Mutex::default(),
+        };
+        metrics.registry = Mutex::new(metrics.register());
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&self) -> Registry {
+        let mut registry = Registry::with_prefix("plantaincross");
+        registry.register(
+            "waiting_seconds",
+            "Time from the arrival of a request to its slot",
+            self.waiting.clone(),
+        );
+        registry.register(
+            "refusals",
+            "Requests refused or failed, by kind",
+            self.refusals.clone(),
+        );
+        registry.register("retries", "Attempts after the first", self.retries.clone());
+        registry.register(
+            "completed_requests",
+            "Requests answered whole, by team",
+            self.completed.clone(),
+        );
+        registry.register(
+            "running_requests",
+            "Requests running, by team",
+            self.running.clone(),
+        );
+        registry.register(
+            "queued_requests",
+            "Requests waiting, by team",
+            self.queued.clone(),
+        );
+        registry.register(
+            "limit_units",
+            "Units of the team's limit allotted here",
+            self.units.clone(),
+        );
+        registry.register("slots_used", "Slots in use", self.slots_used.clone());
+        registry.register(
+            "slots_granted",
+            "Slots allotted here",
+            self.slots_granted.clone(),
+        );
+        registry.register(
+            "share_shortfall_max",
+            "Largest shortfall from its share of a team with demand",
+            self.shortfall_max.clone(),
+        );
+        registry.register(
+            "share_shortfall_mean",
+            "Mean shortfall from their shares of teams with demand",
+            self.shortfall_mean.clone(),
+        );
+        registry.register(
+            "control_messages_sent",
+            "Messages sent to peers",
+            self.messages_sent.clone(),
+        );
+        registry.register(
+            "control_bytes_sent",
+            "Bytes sent to peers",
+            self.bytes_sent.clone(),
+        );
+        registry.register(
+            "control_messages_received",
+            "Messages received from peers",
+            self.messages_received.clone(),
+        );
+        registry.register(
+            "control_bytes_received",
+            "Bytes received from peers",
+            self.bytes_received.clone(),
+        );
+        registry
+    }
+
+    /// Counts the waiting time of a request that got its slot.
+    pub fn waited(&self, time: Duration) {
+        self.waiting.observe(time.as_secs_f64());
+    }
+
+    /// Counts a refusal or failure.
+    pub fn refused(&self, kind: Kind) {
+        let label = ByKind {
+            kind: kind.to_string(),
+        };
+        self.refusals.get_or_create(&label).inc();
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self) {
+        self.retries.inc();
+    }
+
+    /// Takes the figures of all teams into the measure of nearness to share.
+    pub fn sample(&self, now: Moment, teams: &[TeamStat]) {
+        let mut nearness = self.nearness.lock().expect("nearness lock");
+        if let Some((max, mean)) = nearness.sample(now, teams) {
+            self.shortfall_max.set(max);
+            self.shortfall_mean.set(mean);
+        }
+    }
+
+    /// Returns all metrics as text.
+    pub fn encode(&self, teams: &[TeamStat], slots: (u64, u64), links: &Counters) -> String {
+        for team in teams {
+            let label = ByTeam {
+                team: team.team.clone(),
+            };
+            set(&self.completed.get_or_create(&label), team.completed);
+            set(&self.running.get_or_create(&label), team.running);
+            set(&self.queued.get_or_create(&label), team.waiting);
+            set(&self.units.get_or_create(&label), team.allowed);
+        }
+        set(&self.slots_used, slots.0);
+        set(&self.slots_granted, slots.1);
+        let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        set(&self.messages_sent, load(&links.sent));
+        set(&self.bytes_sent, load(&links.sent_bytes));
+        set(&self.messages_received, load(&links.received));
+        set(&self.bytes_received, load(&links.received_bytes));
+        let mut text = String::new();
+        let registry = self.registry.lock().expect("registry lock");
+        encode(&mut text, &registry).expect("text takes all metrics");
+        text
+    }
+}
+
+fn set(gauge: &Gauge, value: u64) {
+    gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+}
+
+/// How near teams came to their shares of slot time in the latest window.
+#[derive(Debug, Default)]
+pub struct Nearness {
+    since: Moment,
+    before: BTreeMap<String, Duration>,
+    starved: BTreeMap<String, bool>,
+}
+
+impl Nearness {
+    /// Takes the figures of all teams; at the end of a window yields the largest
+    /// and the mean shortfall of teams with demand.
+    pub fn sample(&mut self, now: Moment, teams: &[TeamStat]) -> Option<(f64, f64)> {
+        for team in teams {
+            let starved = self.starved.entry(team.team.clone()).or_default();
+            *starved |= team.waiting > 0;
+        }
+        if now.since(self.since) < NEARNESS_WINDOW {
+            return None;
+        }
+        let used: Vec<f64> = teams
+            .iter()
+            .map(|team| {
+                let before = self.before.get(&team.team).copied().unwrap_or_default();
+                team.slot_time.saturating_sub(before).as_secs_f64()
+            })
+            .collect();
+        let capacity: f64 = used.iter().sum();
+        let claimants: Vec<Claimant> = teams
+            .iter()
+            .zip(&used)
+            .map(|(team, &used)| Claimant {
+                weight: f64::from(team.share.max(1)),
+                demand: if self.starved.get(&team.team) == Some(&true) {
+                    capacity
+                } else {
+                    used
+                },
+            })
+            .collect();
+        let short = shortfalls(capacity, &claimants, &used);
+        let active = used.iter().filter(|used| **used > 0.0).count().max(1);
+        let max = short.iter().copied().fold(0.0, f64::max);
+        let mean = short.iter().sum::<f64>() / active as f64;
+        self.since = now;
+        self.starved.clear();
+        self.before = teams
+            .iter()
+            .map(|team| (team.team.clone(), team.slot_time))
+            .collect();
+        Some((max, mean))
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -28,6 +28,8 @@
 const TICK_EVERY: Duration = Duration::from_millis(25);
 /// Interval at which late requests are refused.
 const EXPIRE_EVERY: Duration = Duration::from_millis(5);
+/// Interval at which nearness to share is sampled.
+const SAMPLE_EVERY: Duration = Duration::from_millis(500);
 /// Inputs that wait for the control thread.
 const INBOX_MAX: usize = 16_384;
 /// Inputs taken before the log is synced once for all of them.
@@ -281,9 +283,11 @@
     tokio::spawn(async move {
         let mut ticks = interval(EXPIRE_EVERY);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut samples = interval(SAMPLE_EVERY);
         loop {
             tokio::select! {
                 _ = ticks.tick() => traffic.expire(),
+                _ = samples.tick() => traffic.sample(),
                 () = stop.cancelled() => return,
             }
         }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -19,6 +19,7 @@
 use crate::core::time::Moment;
 use crate::error::{Error, Kind, Result};
 use crate::event::{Event, Ring};
+use crate::metrics::Metrics;
 use crate::util::sha256;
 
 /// What the control thread publishes for every request to read.
@@ -94,6 +95,8 @@
     pub ring: Mutex<Ring>,
     /// Budget of retries.
     pub budget: Mutex<Budget>,
+    /// Metrics.
+    pub metrics: Metrics,
     waiters: Mutex<HashMap<Ticket, oneshot::Sender<Result<Assignment, Refusal>>>>,
     root_fresh: AtomicU64,
     zone_fresh: AtomicU64,
@@ -111,6 +114,7 @@
             view: ArcSwap::default(),
             ring: Mutex::new(Ring::new(name.to_owned())),
             budget: Mutex::default(),
+            metrics: Metrics::default(),
             waiters: Mutex::default(),
             root_fresh: AtomicU64::new(0),
             zone_fresh: AtomicU64::new(0),
@@ -264,6 +268,13 @@
         }
     }
 
+    /// Takes the gate's figures into the measure of nearness to share.
+    pub fn sample(&self) {
+        let now = self.clock.now();
+        let teams = self.gate.lock().expect("gate lock").team_stats();
+        self.metrics.sample(now, &teams);
+    }
+
     /// Refuses waiting requests that can no longer meet their deadlines.
     pub fn expire(&self) {
         let now = self.clock.now();
