--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -221,7 +221,7 @@
         fleet.tick(now);
         let took = started.elapsed();
         spent += took;
-        times.saturating_record(took.as_nanos() as u64);
+        times.record(took.as_nanos() as u64).expect("resizes");
         let _ = fleet.take_events();
     }
     Figures {
--- /dev/null
+++ b/src/core/consensus/election.rs
@@ -0,0 +1,154 @@
+//! Votes, candidacy and the change of roles.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::progress::Progress;
+use super::replica::{ELECTION_MAX, ELECTION_MIN, Lead, Replica, Role};
+use crate::core::time::{Moment, with_clock_margin};
+use crate::wire::{Entry, RaftBody, Vote, VoteReply};
+
+impl Replica {
+    pub(super) fn reset_election(&mut self, now: Moment) {
+        let span = (ELECTION_MAX - ELECTION_MIN).as_micros() as u64;
+        let extra = Duration::from_micros(self.rng.random_range(0..=span));
+        self.election_at = now + ELECTION_MIN + extra;
+    }
+
+    pub(super) fn become_follower(&mut self, now: Moment, term: u64) {
+        if term > self.hard.term {
+            self.set_hard(term, 0);
+            self.leader = None;
+        }
+        self.role = Role::Follower;
+        self.reset_election(now);
+    }
+
+    pub(super) fn campaign(&mut self, now: Moment, pre: bool) {
+        self.leader = None;
+        self.reset_election(now);
+        let own = BTreeSet::from([self.id]);
+        if pre {
+            self.role = Role::PreCandidate(own);
+        } else {
+            self.set_hard(self.hard.term + 1, self.id);
+            self.role = Role::Candidate(own);
+        }
+        let vote = Vote {
+            pre,
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            for_term: self.hard.term + u64::from(pre),
+        };
+        for id in self.other_voters() {
+            self.send(id, RaftBody::Vote(vote));
+        }
+        self.count_votes(now);
+    }
+
+    pub(super) fn other_voters(&self) -> Vec<u64> {
+        self.voters
+            .iter()
+            .map(|v| v.replica)
+            .filter(|&id| id != self.id)
+            .collect()
+    }
+
+    pub(super) fn step_vote(&mut self, now: Moment, from: u64, term: u64, vote: Vote) {
+        // A replica that hears its leader takes no part, so that one that was cut
+        // off cannot disturb the group.
+        let hears_leader = self.is_leader() || now < self.contact + with_clock_margin(ELECTION_MIN);
+        if hears_leader {
+            return;
+        }
+        if !vote.pre && term > self.hard.term {
+            self.become_follower(now, term);
+        }
+        let current = (self.log.last_term(), self.log.last_index());
+        let up_to_date = (vote.last_term, vote.last_index) >= current;
+        let granted = if vote.pre {
+            up_to_date && vote.for_term > self.hard.term
+        } else {
+            let free = self.hard.vote == 0 || self.hard.vote == from;
+            up_to_date && term == self.hard.term && free
+        };
+        if granted && !vote.pre {
+            self.set_hard(self.hard.term, from);
+            self.reset_election(now);
+        }
+        let reply = VoteReply {
+            pre: vote.pre,
+            granted,
+            for_term: vote.for_term,
+        };
+        self.send(from, RaftBody::VoteReply(reply));
+    }
+
+    pub(super) fn step_vote_reply(&mut self, now: Moment, from: u64, term: u64, reply: VoteReply) {
+        if !reply.granted || !self.is_voting(from) {
+            return;
+        }
+        let own_term = self.hard.term;
+        match &mut self.role {
+            Role::PreCandidate(votes) if reply.pre && reply.for_term == own_term + 1 => {
+                votes.insert(from);
+            }
+            Role::Candidate(votes) if !reply.pre && term == own_term => {
+                votes.insert(from);
+            }
+            _ => return,
+        }
+        self.count_votes(now);
+    }
+
+    pub(super) fn count_votes(&mut self, now: Moment) {
+        let quorum = self.quorum();
+        match &self.role {
+            Role::PreCandidate(votes) if votes.len() >= quorum => self.campaign(now, false),
+            Role::Candidate(votes) if votes.len() >= quorum => self.become_leader(now),
+            _ => {}
+        }
+    }
+
+    pub(super) fn become_leader(&mut self, now: Moment) {
+        let next = self.log.last_index() + 1;
+        let progress = self
+            .voters
+            .iter()
+            .filter(|v| v.replica != self.id)
+            .map(|v| {
+                let mut progress = Progress::new(&v.name, next, now);
+                progress.durable = true;
+                (v.replica, progress)
+            })
+            .collect();
+        self.role = Role::Leader(Lead {
+            progress,
+            heartbeat_at: now,
+            since: now,
+            first_index: next,
+        });
+        self.leader = Some(self.id);
+        // The entry of the new term lets earlier entries commit.
+        let noop = crate::core::registry::Command::Noop;
+        let command = postcard::to_allocvec(&noop).expect("command encodes");
+        self.append(Entry {
+            term: self.hard.term,
+            index: next,
+            command: command.into(),
+            voters: Vec::new(),
+        });
+        self.replicate(now, true);
+    }
+
+    // A leader that its group has voted out steps down once that is committed.
+    pub(super) fn leave_if_removed(&mut self, now: Moment) {
+        if self.commit >= self.voters_index && !self.is_voter() {
+            let term = self.hard.term;
+            self.become_follower(now, term);
+            self.leader = None;
+        }
+    }
+}
--- a/src/core/consensus/mod.rs
+++ b/src/core/consensus/mod.rs
@@ -3,9 +3,12 @@
 //! Source: Ongaro, Consensus: Bridging Theory and Practice (Raft), with
 //! pre-vote, check-quorum, leader lease and member changes one at a time.
 
+mod election;
+mod follow;
 mod log;
 mod progress;
 mod replica;
+mod replicate;
 mod transfer;
 
 pub use log::{Log, Snapshot};
--- /dev/null
+++ b/src/core/consensus/replicate.rs
@@ -0,0 +1,232 @@
+//! A leader's side of replication.
+
+use std::time::Duration;
+
+use super::progress::Progress;
+use super::replica::{ELECTION_MAX, HEARTBEAT_EVERY, Replica, Role};
+use super::transfer::part_of;
+use crate::core::time::Moment;
+use crate::wire::{Append, AppendReply, Observe, RaftBody, SnapshotReply};
+
+/// A leader forgets observers that were silent for this long.
+const OBSERVER_SILENCE_MAX: Duration = Duration::from_secs(10);
+/// A part of a snapshot is sent again when it was not answered for this long.
+const PART_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Bytes of entries in one message.
+const APPEND_BYTES: usize = 256 << 10;
+
+impl Replica {
+    pub(super) fn tick_leader(&mut self, now: Moment) {
+        let contact = self.quorum_contact(now);
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        if now.since(contact.max(lead.since)) > ELECTION_MAX {
+            let term = self.hard.term;
+            self.become_follower(now, term);
+            self.leader = None;
+            return;
+        }
+        let voters = &self.voters;
+        lead.progress.retain(|id, p| {
+            now.since(p.heard_at) < OBSERVER_SILENCE_MAX || voters.iter().any(|v| v.replica == *id)
+        });
+        if now >= lead.heartbeat_at {
+            lead.heartbeat_at = now + HEARTBEAT_EVERY;
+            self.replicate(now, true);
+        }
+    }
+
+    pub(super) fn step_observe(&mut self, now: Moment, from: u64, observe: &Observe) {
+        let next = self.log.last_index() + 1;
+        let is_voting = self.is_voting(from);
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let known = lead.progress.contains_key(&from);
+        let progress = lead
+            .progress
+            .entry(from)
+            .or_insert_with(|| Progress::new(&observe.name, next, now));
+        progress.heard_at = now;
+        progress.durable = observe.durable;
+        if !known && !is_voting {
+            progress.next = (observe.last_index + 1).min(next);
+            self.send_append(now, from, true);
+        }
+    }
+
+    /// Returns when the latest requests answered by a quorum were sent.
+    pub(super) fn quorum_contact(&self, now: Moment) -> Moment {
+        let Role::Leader(lead) = &self.role else {
+            return Moment::ZERO;
+        };
+        let mut acks: Vec<Moment> = self
+            .voters
+            .iter()
+            .map(|v| {
+                if v.replica == self.id {
+                    return now;
+                }
+                lead.progress
+                    .get(&v.replica)
+                    .map_or(Moment::ZERO, |p| p.acked_at)
+            })
+            .collect();
+        acks.sort_unstable_by(|a, b| b.cmp(a));
+        acks.get(self.quorum() - 1).copied().unwrap_or_default()
+    }
+
+    pub(super) fn replicate(&mut self, now: Moment, heartbeat: bool) {
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let last = self.log.last_index();
+        for voter in &self.voters {
+            if voter.replica != self.id {
+                lead.progress
+                    .entry(voter.replica)
+                    .or_insert_with(|| Progress::new(&voter.name, last + 1, now));
+            }
+        }
+        let targets: Vec<u64> = lead.progress.keys().copied().collect();
+        for id in targets {
+            self.send_append(now, id, heartbeat);
+        }
+    }
+
+    pub(super) fn send_append(&mut self, now: Moment, to: u64, heartbeat: bool) {
+        let quorum_age = now.since(self.quorum_contact(now)).as_micros() as u64;
+        let last = self.log.last_index();
+        let first = self.log.first_index();
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = lead.progress.get_mut(&to) else {
+            return;
+        };
+        if progress.next < first {
+            self.send_part(now, to);
+            return;
+        }
+        if progress.next > last && !heartbeat {
+            return;
+        }
+        let prev_index = progress.next - 1;
+        let entries = self.log.slice(progress.next, APPEND_BYTES);
+        progress.next += entries.len() as u64;
+        progress.sent_at = now;
+        let append = Append {
+            prev_index,
+            prev_term: self.log.term_at(prev_index).unwrap_or(0),
+            entries,
+            commit: self.commit,
+            sent_at: now.0,
+            quorum_age,
+        };
+        self.send(to, RaftBody::Append(append));
+    }
+
+    pub(super) fn send_part(&mut self, now: Moment, to: u64) {
+        let snapshot = self.log.snapshot();
+        let index = snapshot.index;
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = lead.progress.get_mut(&to) else {
+            return;
+        };
+        let offset = match progress.snapshot {
+            Some((at, received)) if at == index => {
+                if now.since(progress.sent_at) < PART_TIMEOUT {
+                    return;
+                }
+                received
+            }
+            _ => 0,
+        };
+        progress.snapshot = Some((index, offset));
+        progress.sent_at = now;
+        let part = part_of(snapshot, self.snapshot_crc, offset, now.0);
+        self.send(to, RaftBody::Snapshot(part));
+    }
+
+    pub(super) fn step_append_reply(
+        &mut self,
+        now: Moment,
+        from: u64,
+        term: u64,
+        reply: AppendReply,
+    ) {
+        if term != self.hard.term {
+            return;
+        }
+        let last = self.log.last_index();
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = lead.progress.get_mut(&from) else {
+            return;
+        };
+        progress.heard_at = now;
+        progress.acked_at = progress.acked_at.max(Moment(reply.sent_at));
+        if reply.ok {
+            progress.record_match(reply.index.min(last));
+            self.advance_commit(now);
+        } else {
+            progress.record_mismatch(reply.index);
+        }
+        self.send_append(now, from, false);
+    }
+
+    pub(super) fn advance_commit(&mut self, now: Moment) {
+        let Role::Leader(lead) = &self.role else {
+            return;
+        };
+        let mut matched: Vec<u64> = self
+            .voters
+            .iter()
+            .map(|v| {
+                if v.replica == self.id {
+                    return self.stable;
+                }
+                lead.progress.get(&v.replica).map_or(0, |p| p.matched)
+            })
+            .collect();
+        matched.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(&index) = matched.get(self.quorum() - 1) else {
+            return;
+        };
+        if index > self.commit && self.log.term_at(index) == Some(self.hard.term) {
+            self.commit = index;
+            self.replicate(now, true);
+            self.leave_if_removed(now);
+        }
+    }
+
+    pub(super) fn step_snapshot_reply(
+        &mut self,
+        now: Moment,
+        from: u64,
+        term: u64,
+        reply: SnapshotReply,
+    ) {
+        if term != self.hard.term {
+            return;
+        }
+        let index = self.log.snapshot().index;
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = lead.progress.get_mut(&from) else {
+            return;
+        };
+        progress.heard_at = now;
+        progress.acked_at = progress.acked_at.max(Moment(reply.sent_at));
+        if reply.index == index && progress.snapshot.is_some() {
+            progress.snapshot = Some((index, reply.received));
+            progress.sent_at = Moment::ZERO;
+            self.send_part(now, from);
+        }
+    }
+}
--- a/src/core/control/mod.rs
+++ b/src/core/control/mod.rs
@@ -2,6 +2,7 @@
 //! returns effects. One thread drives it.
 
 mod claims;
+mod peers;
 mod query;
 mod root;
 mod tasks;
@@ -29,7 +30,7 @@
 use crate::core::time::Moment;
 use crate::error::{Error, Kind};
 use crate::event::Event;
-use crate::wire::{Body, Call, Ping, Raft, Return, Voter};
+use crate::wire::{Body, Voter};
 
 /// Interval of pings on each link.
 const PING_EVERY: Duration = Duration::from_millis(500);
@@ -370,65 +371,6 @@
         }
     }
 
-    fn peer_up(&mut self, now: Moment, peer: Peer) {
-        self.effects.push(Effect::Event(Event::PeerUp {
-            peer: peer.name.clone(),
-        }));
-        let known = Known {
-            heard: now,
-            ping_received: 0,
-            ping_received_at: now,
-            peer,
-        };
-        self.peers.insert(known.peer.id, known);
-        self.ping_at = now;
-    }
-
-    fn peer_down(&mut self, id: InstanceId) {
-        if let Some(known) = self.peers.remove(&id) {
-            self.effects.push(Effect::Event(Event::PeerDown {
-                peer: known.peer.name,
-            }));
-        }
-    }
-
-    // After a pause of this process nobody was heard; that says nothing of the peers.
-    fn forgive_own_pause(&mut self, now: Moment) {
-        if now.since(self.ticked_at) > OWN_PAUSE_MIN {
-            for known in self.peers.values_mut() {
-                known.heard = now;
-            }
-        }
-        self.ticked_at = now;
-    }
-
-    fn expire_peers(&mut self, now: Moment) {
-        let silent: Vec<InstanceId> = self
-            .peers
-            .iter()
-            .filter(|(_, k)| now.since(k.heard) >= PEER_SILENCE_MAX)
-            .map(|(&id, _)| id)
-            .collect();
-        for id in silent {
-            self.peer_down(id);
-        }
-    }
-
-    fn expire_calls(&mut self, now: Moment) {
-        let late: Vec<u64> = self
-            .calls
-            .iter()
-            .filter(|(_, p)| now >= p.until)
-            .map(|(&id, _)| id)
-            .collect();
-        for id in late {
-            if let Some(pending) = self.calls.remove(&id) {
-                let err = Error::new(Kind::NoQuorum, "no answer from the responsible instance");
-                self.answer(now, pending.origin, Answer::Failed(err));
-            }
-        }
-    }
-
     // The founders wait until all of them are seen blank; the first by name founds.
     fn found(&mut self, now: Moment) {
         if !self.replica.is_blank() || !self.me.durable {
@@ -456,165 +398,6 @@
         self.replica.found(now, voters);
     }
 
-    fn ping(&mut self, now: Moment) {
-        if self.replica.is_leased(now) {
-            self.fresh
-                .hear(now, self.replica.commit(), self.registry.applied);
-        }
-        if now < self.ping_at {
-            return;
-        }
-        self.ping_at = now + PING_EVERY;
-        let fresh_age = self.fresh.age(now).map(|age| age.as_micros() as u64);
-        let peers: Vec<String> = self
-            .peers
-            .values()
-            .map(|k| k.peer.address.clone())
-            .collect();
-        let pings: Vec<(InstanceId, Ping)> = self
-            .peers
-            .values()
-            .map(|known| {
-                let ping = Ping {
-                    sent_at: now.0,
-                    echo: known.ping_received,
-                    held: now.since(known.ping_received_at).as_micros() as u64,
-                    peers: peers.clone(),
-                    leaving: self.leaving,
-                    fresh_age,
-                    fresh_index: self.registry.applied,
-                };
-                (known.peer.id, ping)
-            })
-            .collect();
-        for (id, ping) in pings {
-            self.send(id, Body::Ping(ping));
-        }
-        self.effects.push(Effect::Publish);
-    }
-
-    fn message(&mut self, now: Moment, from: InstanceId, body: Body) {
-        let Some(known) = self.peers.get_mut(&from) else {
-            return;
-        };
-        known.heard = now;
-        if known.peer.zone == self.me.zone {
-            self.seat.hear(now, from);
-        }
-        match body {
-            Body::Raft(raft) => self.replica.step(now, raft),
-            Body::Ping(ping) => self.take_ping(now, from, &ping),
-            Body::Call(call) => self.take_call(now, from, &call),
-            Body::Return(ret) => self.take_return(now, &ret),
-            Body::LeaseRequest(request) => self.take_lease_request(now, from, &request),
-            Body::LeaseReply(reply) => self.seat.take_lease(
-                reply.term,
-                Moment(reply.sent_at),
-                reply.granted && reply.zone == self.me.zone,
-            ),
-            Body::PromiseRequest(request) => self.take_promise_request(now, from, &request),
-            Body::PromiseReply(reply) => {
-                self.seat
-                    .take_promise(from, reply.term, Moment(reply.sent_at), reply.granted);
-            }
-            Body::Report(report) => self.take_report(now, from, &report),
-            Body::Allotment(allotment) => self.take_allotment(now, from, &allotment),
-            Body::Withdrawn(withdrawn) => self.take_withdrawn(withdrawn.keys),
-        }
-    }
-
-    fn take_ping(&mut self, now: Moment, from: InstanceId, ping: &Ping) {
-        let Some(known) = self.peers.get_mut(&from) else {
-            return;
-        };
-        known.ping_received = ping.sent_at;
-        known.ping_received_at = now;
-        // The statement was made no earlier than `held` after our echoed ping left.
-        if let (Some(age), true) = (ping.fresh_age, ping.echo > 0) {
-            let stated_at = ping.echo.saturating_add(ping.held);
-            let as_of = Moment(stated_at.saturating_sub(age));
-            self.fresh
-                .hear(as_of, ping.fresh_index, self.registry.applied);
-        }
-    }
-
-    fn take_withdrawn(&mut self, keys: Vec<String>) {
-        let new: Vec<String> = keys
-            .into_iter()
-            .filter(|key| self.tombstones.insert(key.clone()))
-            .collect();
-        if new.is_empty() {
-            return;
-        }
-        for key in &new {
-            let event = Event::KeyWithdrawn { key: key.clone() };
-            self.effects.push(Effect::Event(event));
-        }
-        let body = Body::Withdrawn(crate::wire::Withdrawn { keys: new });
-        for id in self.peer_ids() {
-            self.send(id, body.clone());
-        }
-        self.effects.push(Effect::Publish);
-    }
-
-    // A withdrawal that was heard of is proposed until the registry holds it.
-    fn repeat_withdrawals(&mut self, now: Moment) {
-        if now < self.withdraw_at {
-            return;
-        }
-        self.withdraw_at = now + WITHDRAW_EVERY;
-        let open: Vec<String> = self
-            .tombstones
-            .iter()
-            .filter(|id| {
-                self.registry
-                    .keys
-                    .get(*id)
-                    .is_some_and(|key| !key.withdrawn)
-            })
-            .cloned()
-            .collect();
-        for id in open {
-            let query = Query::Propose(Command::WithdrawKey { id });
-            self.route(now, root::NOBODY, &Target::Root, query);
-        }
-    }
-
-    fn peer_ids(&self) -> Vec<InstanceId> {
-        self.peers.keys().copied().collect()
-    }
-
-    fn send(&mut self, to: InstanceId, body: Body) {
-        self.effects.push(Effect::Send(to, body));
-    }
-
-    fn send_raft(&mut self, now: Moment, raft: Raft) {
-        // An observer that knows no leader asks everybody.
-        if raft.to == 0 {
-            for id in self.peer_ids() {
-                self.send(id, Body::Raft(raft.clone()));
-            }
-            return;
-        }
-        if raft.to == self.me.replica {
-            self.replica.step(now, raft);
-            return;
-        }
-        if let Some(id) = self.instance_of(raft.to) {
-            self.send(id, Body::Raft(raft));
-        }
-    }
-
-    fn instance_of(&self, replica: u64) -> Option<InstanceId> {
-        if replica == self.me.replica {
-            return Some(self.me.id);
-        }
-        self.peers
-            .values()
-            .find(|k| k.peer.replica == replica)
-            .map(|k| k.peer.id)
-    }
-
     fn root_leader(&self) -> Option<InstanceId> {
         self.instance_of(self.replica.leader()?)
     }
@@ -705,56 +488,6 @@
     pub const fn resign(&mut self) {
         self.seat.resign();
     }
-
-    fn take_call(&mut self, now: Moment, from: InstanceId, call: &Call) {
-        let origin = Origin::Peer(from, call.id);
-        match postcard::from_bytes::<Query>(&call.body) {
-            Ok(query) => self.handle(now, origin, query),
-            Err(err) => {
-                let err = Error::new(Kind::BadRequest, err.to_string());
-                self.answer(now, origin, Answer::Failed(err));
-            }
-        }
-    }
-
-    fn take_return(&mut self, now: Moment, ret: &Return) {
-        let Some(pending) = self.calls.remove(&ret.id) else {
-            return;
-        };
-        let answer = postcard::from_bytes(&ret.body)
-            .unwrap_or_else(|err| Answer::Failed(Error::new(Kind::Internal, err.to_string())));
-        self.answer(now, pending.origin, answer);
-    }
-
-    fn answer(&mut self, now: Moment, origin: Origin, answer: Answer) {
-        match origin {
-            Origin::Local(call) if claims::is_internal(call) => {
-                self.take_internal(now, call, &answer);
-            }
-            Origin::Local(call) => self.effects.push(Effect::Reply(call, answer)),
-            Origin::Peer(id, call) => {
-                let body = postcard::to_allocvec(&answer).expect("answer encodes");
-                let ret = Return {
-                    id: call,
-                    body: body.into(),
-                };
-                self.send(id, Body::Return(ret));
-            }
-        }
-    }
-
-    fn forward(&mut self, now: Moment, to: InstanceId, origin: Origin, query: &Query) {
-        self.next_call += 1;
-        let id = self.next_call;
-        let until = now + CALL_TIMEOUT;
-        self.calls.insert(id, Pending { origin, until });
-        let body = postcard::to_allocvec(query).expect("query encodes");
-        let call = Call {
-            id,
-            body: body.into(),
-        };
-        self.send(to, Body::Call(call));
-    }
 }
 
 fn decode_registry(data: &[u8]) -> Option<Registry> {
--- /dev/null
+++ b/src/core/gate/allotment.rs
@@ -0,0 +1,249 @@
+//! What zone leaders have allotted to this entry instance.
+
+use std::collections::{BTreeSet, HashMap};
+
+use super::{
+    Announcement, DEFAULT_QUEUE_LIMIT, Gate, SourceKey, TeamKey, Upstream, UpstreamKey, cell_of,
+};
+use crate::core::escrow::{Account, Cell, Holding};
+use crate::core::time::Moment;
+use crate::wire::Balance;
+
+impl Gate {
+    /// Sets until when what `source` has allotted may be used.
+    pub fn renew(&mut self, source: SourceKey, until: Moment) {
+        let at = usize::from(source.0);
+        if self.expiries.len() <= at {
+            self.expiries.resize(at + 1, Moment::ZERO);
+        }
+        if until <= self.expiries[at] {
+            return;
+        }
+        self.expiries[at] = until;
+        for key in self.keys_of(source) {
+            self.refresh(key);
+        }
+    }
+
+    /// Returns until when what `source` has allotted may be used.
+    pub fn expiry(&self, source: SourceKey) -> Moment {
+        self.expiries
+            .get(usize::from(source.0))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Sets which source the team units come from.
+    pub const fn set_team_source(&mut self, source: SourceKey) {
+        self.team_source = source;
+    }
+
+    /// Adds an upstream or takes its new announcement.
+    pub fn put_upstream(
+        &mut self,
+        announcement: Announcement,
+        source: SourceKey,
+        remote: bool,
+    ) -> UpstreamKey {
+        let service = self.put_service(&announcement.service, DEFAULT_QUEUE_LIMIT);
+        let cell = cell_of(&announcement);
+        if let Some(&key) = self.cells.get(&cell) {
+            let upstream = self.upstreams.get_mut(&key).expect("cell of an upstream");
+            upstream.announcement = announcement;
+            return key;
+        }
+        let key = UpstreamKey(self.next_upstream);
+        self.next_upstream += 1;
+        let mut upstream = Upstream::new(announcement, service, source, remote);
+        if let Some((_, account)) = self.retired.remove(&cell) {
+            upstream.holding = Holding::resumed(account);
+        }
+        self.cells.insert(cell, key);
+        self.upstreams.insert(key, upstream);
+        key
+    }
+
+    /// Marks an upstream as leaving or as staying.
+    pub fn set_leaving(&mut self, cell: Cell, leaving: bool) {
+        if let Some(&key) = self.cells.get(&cell) {
+            if let Some(upstream) = self.upstreams.get_mut(&key) {
+                upstream.leaving = leaving;
+            }
+            self.refresh(key);
+        }
+    }
+
+    /// Forgets upstreams that take nothing new and of which nothing is held.
+    ///
+    /// Their counters are kept for the epoch, since the issuer goes on from them if
+    /// the same incarnation comes back.
+    pub fn sweep(&mut self) {
+        let idle: Vec<UpstreamKey> = self
+            .upstreams
+            .iter()
+            .filter(|(_, u)| u.leaving && u.holding.allowed() == 0 && u.holding.in_use() == 0)
+            .map(|(&key, _)| key)
+            .collect();
+        for key in idle {
+            let mut upstream = self.upstreams.remove(&key).expect("known key");
+            let service = &mut self.services[upstream.service.0 as usize];
+            service.index.drop_entry(&mut upstream);
+            self.cells.remove(&upstream.cell());
+            self.retired.insert(
+                upstream.cell(),
+                (upstream.source, upstream.holding.account()),
+            );
+        }
+    }
+
+    /// Records how many slots of an upstream have been given in all.
+    pub fn receive_slots(&mut self, cell: Cell, given: u64) {
+        let Some(&key) = self.cells.get(&cell) else {
+            return;
+        };
+        self.change_holding(key, |holding| holding.receive(given));
+    }
+
+    /// Records the given counters of team units.
+    pub fn receive_unit_balances(&mut self, balances: &[Balance]) {
+        let by_cell: HashMap<u64, u64> = balances.iter().map(|b| (b.cell, b.given)).collect();
+        if by_cell.is_empty() {
+            return;
+        }
+        for team in &mut self.teams {
+            if let Some(&given) = by_cell.get(&team.cell.0) {
+                team.holding.receive(given);
+            }
+        }
+        // The configuration that names the team may still be on its way.
+        for balance in balances {
+            self.early_units.insert(Cell(balance.cell), balance.given);
+        }
+        let known: BTreeSet<Cell> = self.teams.iter().map(|t| t.cell).collect();
+        self.early_units.retain(|cell, _| !known.contains(cell));
+    }
+
+    /// Closes all slot accounts of `source` and opens them anew; yields the opening
+    /// balances. Idle slots are kept only while the allotment has not expired.
+    pub fn reopen_slots(&mut self, now: Moment, source: SourceKey) -> Vec<(Cell, u64)> {
+        let keep = now < self.expiry(source);
+        self.retired.retain(|_, (of, _)| *of != source);
+        let mut opening = Vec::new();
+        for key in self.keys_of(source) {
+            self.change_holding(key, |h| *h = reopened(*h, keep));
+            let upstream = &self.upstreams[&key];
+            if upstream.holding.allowed() > 0 {
+                opening.push((upstream.cell(), upstream.holding.allowed()));
+            }
+        }
+        opening
+    }
+
+    /// Does for team units what [`Gate::reopen_slots`] does for slots.
+    pub fn reopen_units(&mut self, now: Moment) -> Vec<(Cell, u64)> {
+        let keep = now < self.expiry(self.team_source);
+        self.early_units.clear();
+        let mut opening = Vec::new();
+        for team in &mut self.teams {
+            team.holding = reopened(team.holding, keep);
+            if team.holding.allowed() > 0 {
+                opening.push((team.cell, team.holding.allowed()));
+            }
+        }
+        opening
+    }
+
+    pub(super) fn keys_of(&self, source: SourceKey) -> Vec<UpstreamKey> {
+        self.upstreams
+            .iter()
+            .filter(|(_, u)| u.source == source)
+            .map(|(&key, _)| key)
+            .collect()
+    }
+
+    /// Returns up to `units` idle slots of a service to `source`.
+    pub fn return_slots(&mut self, source: SourceKey, service: &str, units: u64) {
+        let Some(service) = self.service(service) else {
+            return;
+        };
+        let mut left = units;
+        let keys: Vec<UpstreamKey> = self
+            .upstreams
+            .iter()
+            .filter(|(_, u)| u.source == source && u.service == service && u.holding.idle() > 0)
+            .map(|(&key, _)| key)
+            .collect();
+        for key in keys {
+            if left == 0 {
+                break;
+            }
+            self.change_holding(key, |h| left -= h.give_back(left));
+        }
+    }
+
+    /// Returns all idle slots of `source`; false once it has lent nothing more.
+    pub fn return_source(&mut self, source: SourceKey) -> bool {
+        let mut unsettled = false;
+        for key in self.keys_of(source) {
+            let before = self.upstreams[&key].holding.allowed();
+            self.change_holding(key, |h| {
+                h.give_back(u64::MAX);
+            });
+            unsettled |= before > 0;
+        }
+        unsettled
+    }
+
+    /// Returns all idle slots of one upstream.
+    pub fn return_upstream(&mut self, cell: Cell) {
+        if let Some(&key) = self.cells.get(&cell) {
+            self.change_holding(key, |h| {
+                h.give_back(u64::MAX);
+            });
+        }
+    }
+
+    /// Returns up to `units` idle units of a team's limit.
+    pub fn return_units(&mut self, team: TeamKey, units: u64) {
+        self.teams[team.0 as usize].holding.give_back(units);
+    }
+
+    /// Returns everything idle, before a planned stop.
+    pub fn return_all(&mut self) {
+        let keys: Vec<UpstreamKey> = self.upstreams.keys().copied().collect();
+        for key in keys {
+            self.change_holding(key, |h| {
+                h.give_back(u64::MAX);
+            });
+        }
+        for team in &mut self.teams {
+            team.holding.give_back(u64::MAX);
+        }
+    }
+
+    /// Returns the slot accounts of `source`.
+    pub fn slot_accounts(&self, source: SourceKey) -> Vec<(Cell, Account)> {
+        self.upstreams
+            .values()
+            .filter(|u| u.source == source)
+            .map(|u| (u.cell(), u.holding.account()))
+            .collect()
+    }
+
+    /// Returns the team unit accounts.
+    pub fn unit_accounts(&self) -> Vec<(Cell, Account)> {
+        self.teams
+            .iter()
+            .map(|t| (t.cell, t.holding.account()))
+            .collect()
+    }
+}
+
+const fn reopened(holding: Holding, keep_idle: bool) -> Holding {
+    let units = if keep_idle {
+        holding.allowed()
+    } else {
+        holding.in_use()
+    };
+    Holding::opened_with(units, holding.in_use())
+}
--- /dev/null
+++ b/src/core/office/reports.rs
@@ -0,0 +1,205 @@
+//! Accounts of entry instances: reports in, allotments out.
+
+use std::collections::BTreeMap;
+
+use super::{Holder, Host, Office, balance};
+use crate::core::escrow::{Cell, Issuer};
+use crate::core::registry::InstanceId;
+use crate::core::time::Moment;
+use crate::util::cell_named;
+use crate::wire;
+
+impl Office {
+    /// Takes an entry instance's report and returns the allotment that answers it.
+    pub fn report(
+        &mut self,
+        now: Moment,
+        from: InstanceId,
+        report: &wire::Report,
+    ) -> wire::Allotment {
+        let local = report.from_zone == self.zone;
+        if !self.holders.contains_key(&from) {
+            let holder = self.new_holder(now, local);
+            self.holders.insert(from, holder);
+        }
+        let epoch = self.holders[&from].epoch;
+        let open = self.holders[&from].open;
+        if report.epoch != epoch || (report.opening == open) {
+            if report.epoch == epoch && open {
+                // A repeated opening: the first one counted.
+                return self.allot(now, from, report);
+            }
+            return self.ask_to_reopen(now, from, report);
+        }
+        if report.opening {
+            if report.kept_idle && now >= self.safe_at() {
+                // Idle units of an earlier leader have expired and may have been
+                // given to others since.
+                let holder = self.new_holder(now, local);
+                self.holders.insert(from, holder);
+                return self.ask_to_reopen(now, from, report);
+            }
+            self.open_accounts(now, from, report);
+        }
+        self.settle(now, from, report);
+        self.divide(now, false);
+        self.allot(now, from, report)
+    }
+
+    pub(super) fn new_holder(&mut self, now: Moment, local: bool) -> Holder {
+        self.sessions += 1;
+        Holder {
+            epoch: (self.term << 32) | self.sessions,
+            open: false,
+            local,
+            leaving: false,
+            heard: now,
+            number: 0,
+            report: 0,
+            demands: Vec::new(),
+            dirty_slots: BTreeMap::new(),
+            dirty_units: BTreeMap::new(),
+            dirty_hosts: BTreeMap::new(),
+            recall_slots: BTreeMap::new(),
+            recall_units: BTreeMap::new(),
+            urgent: false,
+            sent_at: 0,
+        }
+    }
+
+    pub(super) fn ask_to_reopen(
+        &mut self,
+        now: Moment,
+        from: InstanceId,
+        report: &wire::Report,
+    ) -> wire::Allotment {
+        let holder = self.holders.get_mut(&from).expect("known holder");
+        holder.heard = now;
+        wire::Allotment {
+            zone: self.zone.clone(),
+            epoch: holder.epoch,
+            sent_at: report.sent_at,
+            reopen: true,
+            upstreams: self.hosts.values().map(Host::info).collect(),
+            ..wire::Allotment::default()
+        }
+    }
+
+    pub(super) fn open_accounts(&mut self, now: Moment, from: InstanceId, report: &wire::Report) {
+        // Counters of an earlier epoch mean nothing in this one.
+        self.close_accounts(from);
+        for balance in &report.slots {
+            let cell = Cell(balance.cell);
+            // An upstream that has not announced itself to this leader yet takes
+            // over the accounts kept here when it does.
+            let issuer = match self.hosts.get_mut(&cell) {
+                Some(host) => host.issuer_mut(),
+                None => self.retired.entry(cell).or_insert_with(|| Issuer::new(0)),
+            };
+            issuer.adopt(from, balance.given);
+        }
+        for balance in &report.units {
+            if let Some(name) = self.unit_names.get(&Cell(balance.cell)) {
+                let units = self.units.get_mut(name).expect("named units");
+                units.issuer.adopt(from, balance.given);
+            }
+        }
+        let holder = self.holders.get_mut(&from).expect("known holder");
+        holder.open = true;
+        holder.heard = now;
+        holder.report = 0;
+        let next = holder.number + 1;
+        holder.dirty_hosts = self.hosts.keys().map(|&cell| (cell, next)).collect();
+    }
+
+    pub(super) fn settle(&mut self, now: Moment, from: InstanceId, report: &wire::Report) {
+        for balance in &report.slots {
+            let cell = Cell(balance.cell);
+            let issuer = match self.hosts.get_mut(&cell) {
+                Some(host) => Some(host.issuer_mut()),
+                None => self.retired.get_mut(&cell),
+            };
+            if let Some(issuer) = issuer {
+                issuer.settle(from, balance.returned);
+            }
+        }
+        for balance in &report.units {
+            if let Some(name) = self.unit_names.get(&Cell(balance.cell)) {
+                let units = self.units.get_mut(name).expect("named units");
+                units.issuer.settle(from, balance.returned);
+            }
+        }
+        let holder = self.holders.get_mut(&from).expect("known holder");
+        holder.heard = now;
+        holder.leaving = report.leaving;
+        if report.number > holder.report {
+            holder.report = report.number;
+            holder.demands.clone_from(&report.demands);
+        }
+        let received = report.received;
+        holder.dirty_slots.retain(|_, first| *first > received);
+        holder.dirty_units.retain(|_, first| *first > received);
+        holder.dirty_hosts.retain(|_, first| *first > received);
+    }
+
+    /// Builds the allotment for `to` that answers `report`.
+    pub(super) fn allot(
+        &mut self,
+        now: Moment,
+        to: InstanceId,
+        report: &wire::Report,
+    ) -> wire::Allotment {
+        let holder = self.holders.get_mut(&to).expect("known holder");
+        holder.sent_at = holder.sent_at.max(report.sent_at);
+        holder.heard = now;
+        self.build_allotment(to, report.number)
+    }
+
+    pub(super) fn build_allotment(&mut self, to: InstanceId, answers: u64) -> wire::Allotment {
+        let holder = self.holders.get_mut(&to).expect("known holder");
+        holder.number += 1;
+        holder.urgent = false;
+        let recall = |(name, units): (String, u64)| wire::Recall { name, units };
+        let hosts = &self.hosts;
+        let units = &self.units;
+        wire::Allotment {
+            zone: self.zone.clone(),
+            epoch: holder.epoch,
+            sent_at: holder.sent_at,
+            number: holder.number,
+            answers,
+            upstreams: holder
+                .dirty_hosts
+                .keys()
+                .filter_map(|cell| hosts.get(cell))
+                .map(Host::info)
+                .collect(),
+            slots: holder
+                .dirty_slots
+                .keys()
+                .filter_map(|&cell| {
+                    let account = hosts.get(&cell)?.issuer().account(to);
+                    Some(balance(cell, account.given, account.returned))
+                })
+                .collect(),
+            units: holder
+                .dirty_units
+                .keys()
+                .filter_map(|name| {
+                    let account = units.get(name)?.issuer.account(to);
+                    Some(balance(cell_named(name), account.given, account.returned))
+                })
+                .collect(),
+            recall_slots: std::mem::take(&mut holder.recall_slots)
+                .into_iter()
+                .map(recall)
+                .collect(),
+            recall_units: std::mem::take(&mut holder.recall_units)
+                .into_iter()
+                .map(recall)
+                .collect(),
+            reopen: false,
+            applied: 0,
+        }
+    }
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP towards callers, the platform and operators.
 
 mod callers;
+mod exchange;
 mod headers;
 mod jobs;
 mod operators;
--- a/src/http/proxy.rs
+++ b/src/http/proxy.rs
@@ -5,17 +5,16 @@
 
 use axum::http::{HeaderMap, HeaderName, HeaderValue, Method, Response, StatusCode, header};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use tokio::sync::oneshot;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
-use super::pool::{Connection, Pool};
-use super::reply::{REQUEST_ID, Refused};
+use super::pool::Pool;
+use super::reply::Refused;
 use crate::config::Service;
 use crate::core::claim::{self, ANSWER_MAX, Attempt, End, Settlement, Verdict};
 use crate::core::control::{Answer, Query, Target};
-use crate::core::gate::{Announcement, Assignment, Exchange, Request};
+use crate::core::gate::{Announcement, Assignment, Request};
 use crate::core::retry::backoff;
 use crate::core::time::Moment;
 use crate::error::{Error, Kind, Run};
@@ -77,13 +76,13 @@
 /// The request plane of one entry instance.
 #[derive(Debug)]
 pub struct Proxy {
-    node: Node,
-    pool: Arc<Pool>,
-    tasks: TaskTracker,
+    pub(super) node: Node,
+    pub(super) pool: Arc<Pool>,
+    pub(super) tasks: TaskTracker,
 }
 
 /// How one attempt ended.
-enum Attempted {
+pub(super) enum Attempted {
     Answered(Whole),
     /// Nothing was sent.
     Unsent(String),
@@ -297,25 +296,6 @@
         }
     }
 
-    // A slot on which the upstream may still work stays taken until it surely ended.
-    fn release(&self, assignment: Assignment, attempted: &Attempted) {
-        let traffic = Arc::clone(&self.node.traffic);
-        match attempted {
-            Attempted::Answered(_) => traffic.finish(assignment, Exchange::Answered),
-            Attempted::Broken(_, _, Some(until)) => {
-                traffic.suspect(assignment.upstream);
-                let until = *until;
-                self.tasks.spawn(async move {
-                    sleep_until(until).await;
-                    traffic.finish(assignment, Exchange::Failed);
-                });
-            }
-            Attempted::Unsent(_) | Attempted::Broken(_, _, None) => {
-                traffic.finish(assignment, Exchange::Failed);
-            }
-        }
-    }
-
     async fn plan_retry(
         &self,
         incoming: &Incoming,
@@ -339,148 +319,6 @@
         Some(next)
     }
 
-    /// Makes one attempt. Its caller is answered at the deadline, but the exchange
-    /// goes on until the upstream has surely ended with it, and holds its slot.
-    async fn attempt(
-        &self,
-        incoming: &Incoming,
-        assignment: Assignment,
-        caller: &mut Option<Caller>,
-    ) -> Attempted {
-        let traffic = &self.node.traffic;
-        let target = {
-            let gate = traffic.gate.lock().expect("gate lock");
-            gate.upstream(assignment.upstream)
-                .map(|u| u.announcement.clone())
-        };
-        let Some(target) = target else {
-            return Attempted::Unsent("the upstream is gone".into());
-        };
-        let connection = match self.pool.take(target.address, incoming.idempotent).await {
-            Ok(connection) => connection,
-            Err(err) => return Attempted::Unsent(format!("{}: {err}", target.name)),
-        };
-        if traffic.clock.now() >= incoming.deadline {
-            connection.close();
-            return Attempted::Unsent("the deadline passed before anything was sent".into());
-        }
-        traffic.record(Event::RequestSent {
-            request: incoming.id.clone(),
-            upstream: target.name.clone(),
-        });
-        let deadline = Instant::from_std(traffic.clock.instant(incoming.deadline));
-        let run_until = Instant::now() + incoming.settings.run_limit;
-        let exchange = self.converse(connection, incoming, run_until, &target);
-        tokio::pin!(exchange);
-        tokio::select! {
-            ended = &mut exchange => return ended,
-            () = sleep_until(deadline) => {}
-        }
-        traffic.suspect(assignment.upstream);
-        if let Some(caller) = caller.take() {
-            let refused = Refused::new(Kind::DeadlineExceeded, &incoming.id);
-            self.answer(incoming, caller, Err(refused));
-        }
-        exchange.await
-    }
-
-    async fn converse(
-        &self,
-        mut connection: Connection,
-        incoming: &Incoming,
-        run_until: Instant,
-        target: &Announcement,
-    ) -> Attempted {
-        let request = match self.outgoing(incoming, &target.address.to_string()) {
-            Ok(request) => request,
-            Err(message) => {
-                connection.close();
-                return Attempted::Unsent(message);
-            }
-        };
-        let sent = timeout_at(run_until, connection.sender.try_send_request(request)).await;
-        let response = match sent {
-            Ok(Ok(response)) => response,
-            Ok(Err(mut err)) => {
-                let unsent = err.take_message().is_some();
-                connection.close();
-                let message = format!("{}: {}", target.name, err.error());
-                if unsent {
-                    return Attempted::Unsent(message);
-                }
-                // The upstream itself closed, so it no longer works on the request.
-                // A reset may come from something between.
-                let until = (!err.error().is_incomplete_message()).then_some(run_until);
-                return Attempted::Broken(Kind::UpstreamFailed, message, until);
-            }
-            Err(_) => {
-                connection.close();
-                let message = format!("{} did not answer", target.name);
-                return Attempted::Broken(Kind::UpstreamFailed, message, None);
-            }
-        };
-        let (head, body) = response.into_parts();
-        let crossed = head
-            .headers
-            .get(REQUEST_ID)
-            .is_some_and(|id| id.as_bytes() != incoming.id.as_bytes());
-        if crossed {
-            connection.close();
-            let message = format!("{} answered another request", target.name);
-            return Attempted::Broken(Kind::BadAnswer, message, Some(run_until));
-        }
-        let limit = usize::try_from(incoming.settings.answer_limit).unwrap_or(usize::MAX);
-        let body = timeout_at(run_until, Limited::new(body, limit).collect()).await;
-        match body {
-            Ok(Ok(body)) => {
-                self.pool.put(connection, idle_limit(target));
-                Attempted::Answered(Response::from_parts(head, body.to_bytes()))
-            }
-            Ok(Err(err)) => {
-                connection.close();
-                let message = if err.is::<LengthLimitError>() {
-                    format!("the answer of {} is over {limit} bytes", target.name)
-                } else {
-                    format!("the answer of {} was cut short", target.name)
-                };
-                Attempted::Broken(Kind::BadAnswer, message, Some(run_until))
-            }
-            Err(_) => {
-                connection.close();
-                let message = format!("the answer of {} did not end", target.name);
-                Attempted::Broken(Kind::BadAnswer, message, None)
-            }
-        }
-    }
-
-    fn outgoing(
-        &self,
-        incoming: &Incoming,
-        host: &str,
-    ) -> Result<hyper::Request<Full<Bytes>>, String> {
-        let mut request = hyper::Request::builder()
-            .method(incoming.method.clone())
-            .uri(&incoming.path)
-            .body(Full::new(incoming.body.clone()))
-            .map_err(|err| err.to_string())?;
-        let headers = request.headers_mut();
-        for (name, value) in &incoming.headers {
-            if !is_hop_header(name) {
-                headers.append(name, value.clone());
-            }
-        }
-        let mut set = |name: &'static str, value: &str| {
-            HeaderValue::from_str(value)
-                .map(|value| headers.insert(HeaderName::from_static(name), value))
-                .map_err(|err| err.to_string())
-        };
-        set("host", host)?;
-        set(REQUEST_ID, &incoming.id)?;
-        set("x-team", &incoming.team)?;
-        set(SENDER, &self.node.traffic.id.to_string())?;
-        Ok(request)
-    }
-
     fn settle_claim(&self, claim: Option<Attempt>, end: End) {
         let Some(claim) = claim else {
             return;
@@ -504,7 +342,12 @@
         });
     }
 
-    fn answer(&self, incoming: &Incoming, caller: Caller, result: Result<Whole, Refused>) {
+    pub(super) fn answer(
+        &self,
+        incoming: &Incoming,
+        caller: Caller,
+        result: Result<Whole, Refused>,
+    ) {
         let traffic = &self.node.traffic;
         let event = match &result {
             Ok(answer) => Event::RequestAnswered {
@@ -523,7 +366,7 @@
 }
 
 /// Where the answer to a caller goes.
-type Caller = oneshot::Sender<Result<Whole, Refused>>;
+pub(super) type Caller = oneshot::Sender<Result<Whole, Refused>>;
 
 /// Why a claim was not granted.
 enum Claimed {
@@ -533,7 +376,7 @@
 
 // Idle connections that one instance may keep, so that all together stay below
 // what the upstream accepts.
-fn idle_limit(target: &Announcement) -> usize {
+pub(super) fn idle_limit(target: &Announcement) -> usize {
     const ENTRY_INSTANCES_MAX: u32 = 22;
     (target.connections.saturating_sub(target.slots) / ENTRY_INSTANCES_MAX) as usize
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -63,6 +63,10 @@
 }
 
 impl Instance {
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().expect("runs").id()
+    }
+
     fn spawn(&mut self) {
         let child = Command::new(env!("CARGO_BIN_EXE_plantaincrossd"))
             .arg("--settings")
@@ -74,7 +78,7 @@
     }
 
     fn signal(&self, name: &str) {
-        let pid = self.child.as_ref().expect("runs").id().to_string();
+        let pid = self.pid().to_string();
         let sent = Command::new("kill").args([name, &pid]).status();
         assert!(sent.is_ok_and(|status| status.success()));
     }
