--- a/src/core/consensus/follow.rs
+++ b/src/core/consensus/follow.rs
@@ -9,7 +9,7 @@
 use crate::wire::{Append, AppendReply, Observe, RaftBody, SnapshotPart, SnapshotReply};
 
 /// Interval at which observers ask to be replicated to.
-const OBSERVE_EVERY: Duration = Duration::from_millis(500);
+const OBSERVE_EVERY: Duration = Duration::from_millis(1_000);
 
 impl Replica {
     pub(super) fn tick_observer(&mut self, now: Moment) {
@@ -20,7 +20,8 @@
         if now.since(self.contact) > ELECTION_MAX {
             self.leader = None;
         }
-        self.send_observe(self.leader.unwrap_or(0));
+        // To all, since a new leader does not know its observers.
+        self.send_observe(0);
     }
 
     // Addressed to replica 0, the driver sends it to every peer; only a leader
--- a/src/core/consensus/progress.rs
+++ b/src/core/consensus/progress.rs
@@ -19,6 +19,8 @@
     pub heard_at: Moment,
     /// When anything was last sent to it.
     pub sent_at: Moment,
+    /// Latest commit index sent to it.
+    pub told_commit: u64,
     /// Snapshot on its way to it, as its index and the bytes received.
     pub snapshot: Option<(u64, u64)>,
 }
--- a/src/core/consensus/replicate.rs
+++ b/src/core/consensus/replicate.rs
@@ -8,6 +8,8 @@
 use crate::core::time::Moment;
 use crate::wire::{Append, AppendReply, Observe, RaftBody, SnapshotReply};
 
+/// Interval of heartbeats to observers.
+const OBSERVER_HEARTBEAT_EVERY: Duration = Duration::from_millis(1_000);
 /// A leader forgets observers that were silent for this long.
 const OBSERVER_SILENCE_MAX: Duration = Duration::from_secs(10);
 /// A part of a snapshot is sent again when it was not answered for this long.
@@ -99,6 +101,8 @@
         let quorum_age = now.since(self.quorum_contact(now)).as_micros() as u64;
         let last = self.log.last_index();
         let first = self.log.first_index();
+        let commit = self.commit;
+        let is_voting = self.is_voting(to);
         let Role::Leader(lead) = &mut self.role else {
             return;
         };
@@ -109,9 +113,16 @@
             self.send_part(now, to);
             return;
         }
-        if progress.next > last && !heartbeat {
+        let is_due = if is_voting {
+            heartbeat
+        } else {
+            heartbeat && now.since(progress.sent_at) >= OBSERVER_HEARTBEAT_EVERY
+                || progress.told_commit < commit
+        };
+        if progress.next > last && !is_due {
             return;
         }
+        progress.told_commit = commit;
         let prev_index = progress.next - 1;
         let entries = self.log.slice(progress.next, APPEND_BYTES);
         progress.next += entries.len() as u64;
--- a/src/core/control/mod.rs
+++ b/src/core/control/mod.rs
@@ -32,6 +32,8 @@
 use crate::event::Event;
 use crate::wire::{Body, Voter};
 
+/// Interval at which pings tell of all known peers.
+const GOSSIP_EVERY: Duration = Duration::from_secs(5);
 /// Interval of pings on each link.
 const PING_EVERY: Duration = Duration::from_millis(500);
 /// A peer that was silent for this long is taken to be gone.
@@ -166,12 +168,15 @@
     register: Register,
     root_term: Option<u64>,
     acting: bool,
-    wants: BTreeMap<String, root::ZoneWants>,
+    wants: BTreeMap<(String, String), root::Demanded>,
+    told: BTreeMap<String, root::Want>,
+    told_at: Moment,
     wants_at: Moment,
     proposals: BTreeMap<u64, (u64, Option<Origin>, Option<String>)>,
     calls: BTreeMap<u64, Pending>,
     next_call: u64,
     ping_at: Moment,
+    gossip_at: Moment,
     tombstones: BTreeSet<String>,
     claims: BTreeMap<String, claim::Table>,
     copies: claims::Copies,
@@ -214,11 +219,14 @@
             root_term: None,
             acting: false,
             wants: BTreeMap::new(),
+            told: BTreeMap::new(),
+            told_at: Moment::ZERO,
             wants_at: now,
             proposals: BTreeMap::new(),
             calls: BTreeMap::new(),
             next_call: seed,
             ping_at: now,
+            gossip_at: now,
             tombstones: BTreeSet::new(),
             claims: BTreeMap::new(),
             copies: claims::Copies::default(),
@@ -246,14 +254,19 @@
         self.fresh.as_of()
     }
 
-    /// Returns whether this instance knows all that its zone's leader had applied
-    /// when it last allotted.
-    pub fn follows_zone(&self) -> bool {
-        self.registry.applied >= self.agent.zone_applied()
+    /// Returns until when keys count as verified by the root group.
+    pub fn root_vouches_until(&self) -> Moment {
+        let freshness = self.registry.config.cell.freshness;
+        let as_of = self.fresh.as_of();
+        as_of.map_or(Moment::ZERO, |as_of| as_of + freshness)
     }
 
-    /// Returns until when the own zone's leader vouches for what this instance has.
-    pub fn zone_expiry(&self) -> Moment {
+    /// Returns until when the own zone's leader vouches for keys whose home is the
+    /// zone. Zero while this instance lacks something that the leader had applied.
+    pub fn zone_vouches_until(&self) -> Moment {
+        if self.registry.applied < self.agent.zone_applied() {
+            return Moment::ZERO;
+        }
         let gate = self.gate.lock().expect("gate lock");
         self.agent
             .own_source()
--- a/src/core/control/peers.rs
+++ b/src/core/control/peers.rs
@@ -2,8 +2,8 @@
 
 use super::query::Target;
 use super::{
-    Answer, CALL_TIMEOUT, Control, Effect, Known, OWN_PAUSE_MIN, Origin, PEER_SILENCE_MAX,
-    PING_EVERY, Peer, Pending, Query, WITHDRAW_EVERY, claims, root,
+    Answer, CALL_TIMEOUT, Control, Effect, GOSSIP_EVERY, Known, OWN_PAUSE_MIN, Origin,
+    PEER_SILENCE_MAX, PING_EVERY, Peer, Pending, Query, WITHDRAW_EVERY, claims, root,
 };
 use crate::core::registry::{Command, InstanceId};
 use crate::core::time::Moment;
@@ -23,6 +23,7 @@
             peer,
         };
         self.peers.insert(known.peer.id, known);
+        self.gossip_at = now;
         self.ping_at = now;
     }
 
@@ -81,9 +82,14 @@
         }
         self.ping_at = now + PING_EVERY;
         let fresh_age = self.fresh.age(now).map(|age| age.as_micros() as u64);
+        let gossips = now >= self.gossip_at;
+        if gossips {
+            self.gossip_at = now + GOSSIP_EVERY;
+        }
         let peers: Vec<String> = self
             .peers
             .values()
+            .filter(|_| gossips)
             .map(|k| k.peer.address.clone())
             .collect();
         let pings: Vec<(InstanceId, Ping)> = self
--- a/src/core/control/query.rs
+++ b/src/core/control/query.rs
@@ -35,6 +35,8 @@
     Announce(Heartbeat),
     /// Take a zone's demand for team units.
     Wants(super::root::ZoneWants),
+    /// Return units of teams from the zone to the pool.
+    Return(Vec<(String, u64)>),
     /// Tell whether the zone leader has applied the log up to this position.
     Applied(u64),
     /// Tell how the instance stands.
@@ -203,9 +205,13 @@
                 self.answer(now, origin, answer);
             }
             Query::Wants(wants) => {
-                let answer = self.take_wants(now, wants);
+                let answer = self.take_wants(now, &wants);
                 self.answer(now, origin, answer);
             }
+            Query::Return(recalls) => {
+                self.take_recalls(now, &recalls);
+                self.answer(now, origin, Answer::Done);
+            }
             Query::Applied(at) => {
                 let answer = self.confirm_applied(now, at);
                 self.answer(now, origin, answer);
--- a/src/core/control/root.rs
+++ b/src/core/control/root.rs
@@ -1,11 +1,12 @@
 //! Duties of the root leader: naming zone leaders, dividing team limits among
 //! zones, replacing lost voters.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use super::{Answer, Control, Effect, Origin};
+use super::{Answer, Control, Effect, Origin, Query, Target};
 use crate::core::lease::TERM;
 use crate::core::registry::{Command, InstanceId, Member, Transfer};
 use crate::core::share::{Claim, targets};
@@ -16,8 +17,8 @@
 
 /// Origin of proposals that nobody waits for.
 pub const NOBODY: Origin = Origin::Local(u64::MAX);
-/// A zone's wants count for this long.
-const WANTS_AGE_MAX: Duration = Duration::from_secs(3);
+/// A zone's wants count for this long; it repeats them all well within.
+const WANTS_AGE_MAX: Duration = Duration::from_secs(12);
 /// A spare may lag by this many entries when it becomes a voter.
 const CAUGHT_UP_LAG: u64 = 64;
 
@@ -39,10 +40,15 @@
     pub zone: String,
     /// Term of its leadership.
     pub term: u64,
-    /// Teams.
+    /// Teams whose demand changed, and from time to time all.
     pub wants: Vec<Want>,
-    /// Age of this report; grows at the root leader.
-    pub at: Moment,
+}
+
+/// Demand of a team in a zone as the root leader keeps it.
+#[derive(Clone, Copy, Debug)]
+pub struct Demanded {
+    units: u64,
+    at: Moment,
 }
 
 impl Control {
@@ -272,18 +278,30 @@
     }
 
     /// Takes a zone's demand; gives units and answers with what to return.
-    pub(super) fn take_wants(&mut self, now: Moment, mut wants: ZoneWants) -> Answer {
+    pub(super) fn take_wants(&mut self, now: Moment, wants: &ZoneWants) -> Answer {
         if !self.replica.is_leased(now) {
             return Answer::Failed(Error::new(Kind::NoQuorum, "not the root leader"));
         }
-        wants.at = now;
-        let zone = wants.zone.clone();
         let mut transfers = Vec::new();
         let mut recalls = Vec::new();
+        let mut elsewhere: BTreeMap<String, Vec<(String, u64)>> = BTreeMap::new();
         for want in &wants.wants {
-            self.divide_limit(now, &wants, want, &mut transfers, &mut recalls);
+            let demanded = Demanded {
+                units: want.demand,
+                at: now,
+            };
+            let key = (wants.zone.clone(), want.team.clone());
+            self.wants.insert(key, demanded);
+            self.divide_limit(now, wants, want, &mut transfers, &mut recalls);
+            for (zone, units) in self.surplus_elsewhere(now, wants, want) {
+                let recall = (want.team.clone(), units);
+                elsewhere.entry(zone).or_default().push(recall);
+            }
+        }
+        for (zone, recalls) in elsewhere {
+            let query = Query::Return(recalls);
+            self.route(now, NOBODY, &Target::Zone(zone), query);
         }
-        self.wants.insert(zone, wants);
         if !transfers.is_empty() {
             self.propose(now, NOBODY, &Command::Transfer(transfers), None);
         }
@@ -302,18 +320,7 @@
             return;
         };
         let zones = &self.registry.zone_names;
-        let claims: Vec<Claim> = zones
-            .iter()
-            .map(|zone| Claim {
-                weight: 1,
-                demand: if *zone == wants.zone {
-                    want.demand
-                } else {
-                    self.demand_in(now, zone, &want.team)
-                },
-                standing: true,
-            })
-            .collect();
+        let claims = self.claims_for(now, wants, want);
         let Some(at) = self.registry.zone_index(&wants.zone) else {
             return;
         };
@@ -350,11 +357,50 @@
         }
     }
 
+    // What other zones hold above their targets while this one lacks units.
+    fn surplus_elsewhere(&self, now: Moment, wants: &ZoneWants, want: &Want) -> Vec<(String, u64)> {
+        let zones = &self.registry.zone_names;
+        let (Some(issuer), Some(at)) = (
+            self.registry.limits.get(&want.team),
+            self.registry.zone_index(&wants.zone),
+        ) else {
+            return Vec::new();
+        };
+        if want.demand <= issuer.account(at).balance() || issuer.free() > 0 {
+            return Vec::new();
+        }
+        let claims = self.claims_for(now, wants, want);
+        let goals = targets(issuer.capacity(), &claims);
+        zones
+            .iter()
+            .zip(goals)
+            .filter(|(zone, _)| **zone != wants.zone)
+            .filter_map(|(zone, goal)| {
+                let held = issuer.account(self.registry.zone_index(zone)?).balance();
+                (held > goal).then(|| (zone.clone(), held - goal))
+            })
+            .collect()
+    }
+
+    fn claims_for(&self, now: Moment, wants: &ZoneWants, want: &Want) -> Vec<Claim> {
+        let zones = self.registry.zone_names.iter();
+        zones
+            .map(|zone| Claim {
+                weight: 1,
+                demand: if *zone == wants.zone {
+                    want.demand
+                } else {
+                    self.demand_in(now, zone, &want.team)
+                },
+                standing: true,
+            })
+            .collect()
+    }
+
     fn demand_in(&self, now: Moment, zone: &str, team: &str) -> u64 {
         self.wants
-            .get(zone)
-            .filter(|w| now.since(w.at) < WANTS_AGE_MAX)
-            .and_then(|w| w.wants.iter().find(|want| want.team == team))
-            .map_or(0, |want| want.demand)
+            .get(&(zone.to_owned(), team.to_owned()))
+            .filter(|demanded| now.since(demanded.at) < WANTS_AGE_MAX)
+            .map_or(0, |demanded| demanded.units)
     }
 }
--- a/src/core/control/zone.rs
+++ b/src/core/control/zone.rs
@@ -18,9 +18,19 @@
 const WANTS_EVERY: Duration = Duration::from_millis(500);
 /// Interval of those reports while a team lacks units.
 const WANTS_PRESSING_EVERY: Duration = Duration::from_millis(100);
+/// Interval at which a zone reports all its teams.
+const WANTS_ALL_EVERY: Duration = Duration::from_secs(4);
 /// Age of the root group's word up to which it counts as heard.
 const ROOT_HEARD_MAX: Duration = Duration::from_millis(2_000);
 
+fn want_of(demand: &UnitDemand) -> Want {
+    Want {
+        team: demand.team.clone(),
+        demand: demand.demand,
+        returned: demand.returned,
+    }
+}
+
 impl Control {
     pub(super) fn root_heard(&self, now: Moment) -> bool {
         self.fresh.age(now).is_some_and(|age| age < ROOT_HEARD_MAX)
@@ -201,18 +211,24 @@
             WANTS_EVERY
         };
         self.wants_at = now + every;
+        let all = now.since(self.told_at) >= WANTS_ALL_EVERY;
+        if all {
+            self.told_at = now;
+        }
+        let demands: Vec<UnitDemand> = demands
+            .into_iter()
+            .filter(|d| all || is_pressing(d) || self.told.get(&d.team) != Some(&want_of(d)))
+            .collect();
+        for demand in &demands {
+            self.told.insert(demand.team.clone(), want_of(demand));
+        }
+        if demands.is_empty() {
+            return;
+        }
         let wants = ZoneWants {
             zone: self.me.zone.clone(),
             term: office.term(),
-            wants: demands
-                .into_iter()
-                .map(|d| Want {
-                    team: d.team,
-                    demand: d.demand,
-                    returned: d.returned,
-                })
-                .collect(),
-            at: now,
+            wants: demands.iter().map(want_of).collect(),
         };
         let origin = Origin::Local(super::claims::WANTS_CALL);
         self.route(now, origin, &Target::Root, Query::Wants(wants));
--- a/src/node.rs
+++ b/src/node.rs
@@ -25,9 +25,9 @@
 use crate::wire::Body;
 
 /// Interval of the control loop's ticks.
-const TICK_EVERY: Duration = Duration::from_millis(25);
+const TICK_EVERY: Duration = Duration::from_millis(50);
 /// Interval at which late requests are refused.
-const EXPIRE_EVERY: Duration = Duration::from_millis(5);
+const EXPIRE_EVERY: Duration = Duration::from_millis(10);
 /// Interval at which nearness to share is sampled.
 const SAMPLE_EVERY: Duration = Duration::from_millis(500);
 /// Inputs that wait for the control thread.
@@ -507,16 +507,8 @@
             );
             self.traffic.view.store(Arc::new(view));
         }
-        let freshness = registry.config.cell.freshness;
-        let root = self
-            .control
-            .fresh_as_of()
-            .map_or(Moment::ZERO, |at| at + freshness);
-        let zone = if self.control.follows_zone() {
-            self.control.zone_expiry()
-        } else {
-            Moment::ZERO
-        };
+        let root = self.control.root_vouches_until();
+        let zone = self.control.zone_vouches_until();
         self.traffic.set_fresh(root, zone);
     }
 }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -82,6 +82,7 @@
     running: Vec<Running>,
     next_call: u64,
     beats: BTreeMap<u64, usize>,
+    replies: BTreeMap<u64, Answer>,
     seen: BTreeMap<usize, Seen>,
     withdrawn: Option<u64>,
     withdraw_call: Option<u64>,
@@ -121,6 +122,7 @@
             running: Vec::new(),
             next_call: 0,
             beats: BTreeMap::new(),
+            replies: BTreeMap::new(),
             seen: BTreeMap::new(),
             withdrawn: None,
             withdraw_call: None,
@@ -244,6 +246,10 @@
     }
 
     fn take_reply(&mut self, call: u64, answer: &Answer) {
+        self.replies.insert(call, answer.clone());
+        while self.replies.len() > 1_000 {
+            self.replies.pop_first();
+        }
         if let (Some(upstream), Answer::Heard(seen)) = (self.beats.remove(&call), answer) {
             self.seen.insert(upstream, *seen);
         }
@@ -784,6 +790,149 @@
     schedules_last_quarter: 3_000_000;
 }
 
+/// Cuts zone b off, silently, with a key at home there and one without a home.
+fn cut_off_zone() -> Cell {
+    let mut cell = Cell::new(77);
+    cell.prepare();
+    let key = Key {
+        team: "small".to_owned(),
+        digest: [8; 32],
+        home_zone: Some("b".to_owned()),
+        withdrawn: false,
+        withdrawn_at: 0,
+    };
+    let give = Command::GiveKey {
+        id: "home".to_owned(),
+        key,
+    };
+    cell.ask(0, Target::Root, Query::Propose(give));
+    cell.run_until(START + CALM, false);
+    let (inside, outside): (Vec<usize>, Vec<usize>) = (0..5).partition(|at| at % 2 == 1);
+    for &a in &inside {
+        for &b in &outside {
+            cell.cut.insert((a, b));
+            cell.cut.insert((b, a));
+        }
+    }
+    cell
+}
+
+impl Cell {
+    fn vouched(&self, at: usize) -> (bool, bool) {
+        let host = &self.hosts[at];
+        let control = host.control.as_ref().expect("runs");
+        let now = host.clock(self.time);
+        (
+            now < control.root_vouches_until(),
+            now < control.zone_vouches_until(),
+        )
+    }
+
+    fn withdrawn_at(&self, at: usize, id: &str) -> bool {
+        let control = self.hosts[at].control.as_ref().expect("runs");
+        control
+            .registry()
+            .keys
+            .get(id)
+            .is_some_and(|key| key.withdrawn)
+    }
+}
+
+#[test]
+fn cut_off_zone_serves_on_and_takes_its_home_keys_only() {
+    let mut cell = cut_off_zone();
+    cell.started_by.clear();
+    cell.run_until(cell.time + 60_000_000, false);
+    for at in 0..5 {
+        let home = at % 2 == 1;
+        assert!(cell.started_by[&at] > 0, "i{at} starts nothing");
+        assert_eq!(cell.vouched(at), (!home, true), "i{at}");
+    }
+}
+
+#[test]
+fn withdrawal_of_a_home_key_waits_for_its_zone() {
+    let mut cell = cut_off_zone();
+    cell.run_until(cell.time + 5_000_000, false);
+    let withdraw = Command::WithdrawKey {
+        id: "home".to_owned(),
+    };
+    cell.ask(0, Target::Root, Query::Propose(withdraw));
+    cell.run_until(cell.time + 2_000_000, false);
+    assert!((0..5).all(|at| cell.withdrawn_at(at, "home") == (at % 2 == 0)));
+    let at = cell.hosts[0]
+        .control
+        .as_ref()
+        .expect("runs")
+        .registry()
+        .keys["home"]
+        .withdrawn_at;
+    let call = cell.ask(0, Target::Zone("b".to_owned()), Query::Applied(at));
+    cell.run_until(cell.time + 4_000_000, false);
+    assert!(matches!(cell.replies.get(&call), Some(Answer::Failed(_))));
+    cell.cut.clear();
+    cell.run_until(cell.time + 4_000_000, false);
+    let call = cell.ask(0, Target::Zone("b".to_owned()), Query::Applied(at));
+    cell.run_until(cell.time + 1_000_000, false);
+    assert_eq!(cell.replies.get(&call), Some(&Answer::Done));
+    assert!((0..5).all(|at| cell.withdrawn_at(at, "home")));
+}
+
+#[test]
+fn instance_that_was_away_for_an_hour_comes_back_without_reverting() {
+    let mut cell = cut_off_zone();
+    cell.run_until(cell.time + 5_000_000, false);
+    let version = cell.hosts[0].version;
+    // An hour away: its own timers go on, but nothing passes.
+    let hour = 3_600_000_000;
+    for at in [1, 3] {
+        cell.hosts[at].paused_until = cell.time + hour - 10_000_000;
+    }
+    cell.time += hour;
+    cell.network.clear();
+    let withdraw = Command::WithdrawKey {
+        id: "home".to_owned(),
+    };
+    cell.run_until(cell.time + 5_000_000, false);
+    cell.ask(0, Target::Root, Query::Propose(withdraw));
+    cell.cut.clear();
+    cell.run_until(cell.time + 10_000_000, false);
+    assert!((0..5).all(|at| cell.withdrawn_at(at, "home")));
+    assert!(cell.hosts.iter().all(|h| h.version >= version));
+    cell.recover();
+}
+
+#[test]
+fn racing_operators_have_one_winner_and_resends_get_the_first_answer() {
+    let mut cell = Cell::new(78);
+    cell.prepare();
+    let push = |limit: u64| {
+        let text = format!("[team big]\nshare = 1\nlimit = {limit}\n");
+        let source = Source {
+            name: "a.ini".to_owned(),
+            text,
+        };
+        Query::Propose(Command::Push {
+            replaces: 1,
+            config: Box::new(merge(&[source]).expect("merges")),
+            operator: format!("operator {limit}"),
+        })
+    };
+    let calls: Vec<u64> = (1..6)
+        .flat_map(|turn| [turn, turn])
+        .map(|turn| cell.ask(turn as usize % 5, Target::Root, push(turn)))
+        .collect();
+    cell.run_until(cell.time + 3_000_000, false);
+    let won: Vec<bool> = calls
+        .iter()
+        .map(|call| cell.replies.get(call) == Some(&Answer::Outcome(Outcome::Pushed(2))))
+        .collect();
+    assert_eq!(won.iter().filter(|won| **won).count(), 2, "{won:?}");
+    let winner = won.iter().position(|won| *won).expect("one");
+    assert!(won[winner ^ 1], "the same push gets the same answer");
+    assert!(cell.hosts.iter().all(|h| h.version == 2));
+}
+
 #[test]
 fn same_seed_gives_same_run() {
     let (one, two) = (schedule(42), schedule(42));
