Say once what stood twice: identities, shown configurations, acknowledgements

Cause: a search for repeated runs of lines found the instance's identity in two types, three subcommands that fetch the configuration alike, two answers that settle a follower's progress alike and the schedule loop of a test twice. Change: one of each.

--- a/src/cmd/diff.rs
+++ b/src/cmd/diff.rs
@@ -5,10 +5,9 @@
 
 use serde_json::Value;
 
-use super::{Cell, block_on, print};
+use super::{Cell, print, shown};
 use crate::config::{Config, merge, read_folder};
 use crate::error::{Error, Kind, Result};
-use crate::http::Shown;
 
 /// Compares a folder with the configuration in force.
 ///
@@ -33,17 +32,10 @@
         let message = faults.first().map(ToString::to_string).unwrap_or_default();
         Error::new(Kind::InvalidConfig, message)
     })?;
-    block_on(async {
-        let shown: Shown = args
-            .cell
-            .client()?
-            .call("GET", "/v1/config", None::<&()>)
-            .await?;
-        for line in changes(&shown.config, &new) {
-            print(line)?;
-        }
-        Ok(())
-    })
+    for line in changes(&shown(&args.cell)?.config, &new) {
+        print(line)?;
+    }
+    Ok(())
 }
 
 /// Returns the lines that tell `old` from `new`.
--- a/src/cmd/history.rs
+++ b/src/cmd/history.rs
@@ -1,8 +1,7 @@
 //! `plantaincross history`
 
-use super::{Cell, block_on, print};
+use super::{Cell, print, shown};
 use crate::error::Result;
-use crate::http::Shown;
 
 /// Lists the accepted pushes, oldest first: version, digest, operator.
 #[derive(Debug, clap::Args)]
@@ -17,20 +16,13 @@
 ///
 /// Fails if the instance cannot be asked.
 pub fn run(args: &Args) -> Result<()> {
-    block_on(async {
-        let shown: Shown = args
-            .cell
-            .client()?
-            .call("GET", "/v1/config", None::<&()>)
-            .await?;
-        for push in &shown.history {
-            print(format_args!(
-                "{}\t{}\t{}",
-                push.version,
-                &push.digest[..16],
-                push.operator
-            ))?;
-        }
-        Ok(())
-    })
+    for push in &shown(&args.cell)?.history {
+        print(format_args!(
+            "{}\t{}\t{}",
+            push.version,
+            &push.digest[..16],
+            push.operator
+        ))?;
+    }
+    Ok(())
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::client::Client;
 use crate::error::{Error, Kind, Result};
-use crate::http::operator_token;
+use crate::http::{Shown, operator_token};
 use crate::settings::read_secret;
 
 pub mod check;
@@ -80,6 +80,15 @@
     }
 }
 
+/// Asks an instance for the configuration in force.
+///
+/// # Errors
+///
+/// Fails if the instance cannot be asked.
+pub fn shown(cell: &Cell) -> Result<Shown> {
+    block_on(async { cell.client()?.call("GET", "/v1/config", None::<&()>).await })
+}
+
 /// Runs the chosen subcommand.
 ///
 /// # Errors
--- a/src/core/consensus/replicate.rs
+++ b/src/core/consensus/replicate.rs
@@ -162,6 +162,26 @@
         self.send(to, RaftBody::Snapshot(part));
     }
 
+    // Records that a follower answered, in this term, what was sent at `sent_at`.
+    fn acknowledge(
+        &mut self,
+        now: Moment,
+        from: u64,
+        term: u64,
+        sent_at: u64,
+    ) -> Option<&mut Progress> {
+        let Role::Leader(lead) = &mut self.role else {
+            return None;
+        };
+        if term != self.hard.term {
+            return None;
+        }
+        let progress = lead.progress.get_mut(&from)?;
+        progress.heard_at = now;
+        progress.acked_at = progress.acked_at.max(Moment(sent_at));
+        Some(progress)
+    }
+
     pub(super) fn step_append_reply(
         &mut self,
         now: Moment,
@@ -169,18 +189,10 @@
         term: u64,
         reply: AppendReply,
     ) {
-        if term != self.hard.term {
-            return;
-        }
         let last = self.log.last_index();
-        let Role::Leader(lead) = &mut self.role else {
-            return;
-        };
-        let Some(progress) = lead.progress.get_mut(&from) else {
+        let Some(progress) = self.acknowledge(now, from, term, reply.sent_at) else {
             return;
         };
-        progress.heard_at = now;
-        progress.acked_at = progress.acked_at.max(Moment(reply.sent_at));
         if reply.ok {
             progress.record_match(reply.index.min(last));
             self.advance_commit(now);
@@ -222,18 +234,10 @@
         term: u64,
         reply: SnapshotReply,
     ) {
-        if term != self.hard.term {
-            return;
-        }
         let index = self.log.snapshot().index;
-        let Role::Leader(lead) = &mut self.role else {
+        let Some(progress) = self.acknowledge(now, from, term, reply.sent_at) else {
             return;
         };
-        let Some(progress) = lead.progress.get_mut(&from) else {
-            return;
-        };
-        progress.heard_at = now;
-        progress.acked_at = progress.acked_at.max(Moment(reply.sent_at));
         if reply.index == index && progress.snapshot.is_some() {
             progress.snapshot = Some((index, reply.received));
             progress.sent_at = Moment::ZERO;
--- a/src/net/mesh.rs
+++ b/src/net/mesh.rs
@@ -14,7 +14,7 @@
 
 use super::handshake::{HANDSHAKE_TIMEOUT, Refusal, Side, shake};
 use super::link::{self, Counters, Link, Notice};
-use crate::core::control::{PEER_SILENCE_MAX, Peer};
+use crate::core::control::{Identity, PEER_SILENCE_MAX, Peer};
 use crate::core::registry::InstanceId;
 use crate::wire::Hello;
 
@@ -27,27 +27,10 @@
 /// Addresses that are remembered.
 const ADDRESSES_MAX: usize = 256;
 
-/// What this instance tells its peers of itself.
-#[derive(Clone, Debug)]
-pub struct Introduction {
-    /// Run of the process.
-    pub id: InstanceId,
-    /// Name.
-    pub name: String,
-    /// Availability zone.
-    pub zone: String,
-    /// Address for peers.
-    pub address: String,
-    /// Identity as a replica.
-    pub replica: u64,
-    /// Whether it has a disk.
-    pub durable: bool,
-}
-
 /// The links of one instance.
 #[derive(Debug)]
 pub struct Mesh {
-    me: Introduction,
+    me: Identity,
     secret: Vec<u8>,
     founded: AtomicBool,
     addresses: Mutex<HashSet<String>>,
@@ -62,7 +45,7 @@
 impl Mesh {
     /// Makes the mesh of an instance; nothing is opened yet.
     pub fn new(
-        me: Introduction,
+        me: Identity,
         secret: Vec<u8>,
         seeds: &[String],
         notices: mpsc::Sender<Notice>,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,4 +5,4 @@
 mod mesh;
 
 pub use link::{Counters, Link, Notice};
-pub use mesh::{Introduction, Mesh};
+pub use mesh::Mesh;
--- a/src/node.rs
+++ b/src/node.rs
@@ -18,7 +18,7 @@
 use crate::core::time::Moment;
 use crate::error::{Error, Kind, Result};
 use crate::event::Event;
-use crate::net::{Introduction, Link, Mesh, Notice};
+use crate::net::{Link, Mesh, Notice};
 use crate::settings::Settings;
 use crate::store::{Folder, Wal};
 use crate::traffic::{Traffic, View};
@@ -163,32 +163,24 @@
     let traffic = Arc::new(Traffic::new(id, &settings.name, &settings.zone, clock));
     let stop = CancellationToken::new();
     let (notices, inbox) = mpsc::channel(INBOX_MAX);
-    let introduction = Introduction {
+    let identity = Identity {
         id,
         name: settings.name.clone(),
         zone: settings.zone.clone(),
         address: settings.peer.to_string(),
         replica,
         durable: wal.is_some(),
+        founders: settings.founders.clone(),
+        replace_after: settings.replace_after,
     };
     let mesh = Mesh::new(
-        introduction,
+        identity.clone(),
         settings.secret.clone(),
         &settings.seeds,
         notices,
         stop.child_token(),
     );
     let (orders, order_inbox) = mpsc::channel(INBOX_MAX);
-    let identity = Identity {
-        id,
-        name: settings.name.clone(),
-        zone: settings.zone.clone(),
-        address: settings.peer.to_string(),
-        replica,
-        durable: wal.is_some(),
-        founders: settings.founders.clone(),
-        replace_after: settings.replace_after,
-    };
     let gate = Arc::clone(&traffic.gate);
     let control = Control::new(identity, gate, stored, clock.now(), rand::random());
     let driver = Driver {
--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -239,15 +239,7 @@
     fn run(&mut self, seed: u64) {
         let mut next_tick = self.time;
         while self.time < START + LENGTH {
-            while let Some((&(at, number), _)) = self.network.first_key_value() {
-                if at > next_tick {
-                    break;
-                }
-                let message = self.network.remove(&(at, number)).expect("first");
-                self.time = self.time.max(at);
-                self.deliver(message);
-            }
-            self.time = next_tick;
+            self.deliver_until(next_tick);
             next_tick += TICK;
             for at in 0..self.hosts.len() {
                 self.tick(at);
@@ -257,6 +249,18 @@
         }
     }
 
+    fn deliver_until(&mut self, end: u64) {
+        while let Some((&(at, number), _)) = self.network.first_key_value() {
+            if at > end {
+                break;
+            }
+            let message = self.network.remove(&(at, number)).expect("first");
+            self.time = self.time.max(at);
+            self.deliver(message);
+        }
+        self.time = end;
+    }
+
     fn deliver(&mut self, message: Raft) {
         let Some(at) = self.hosts.iter().position(|h| h.id == message.to) else {
             return;
@@ -394,15 +398,7 @@
         let end = self.time + 20_000_000;
         let mut next_tick = self.time;
         while self.time < end {
-            while let Some((&(at, number), _)) = self.network.first_key_value() {
-                if at > next_tick {
-                    break;
-                }
-                let message = self.network.remove(&(at, number)).expect("first");
-                self.time = self.time.max(at);
-                self.deliver(message);
-            }
-            self.time = next_tick;
+            self.deliver_until(next_tick);
             next_tick += TICK;
             for at in 0..self.hosts.len() {
                 if self.hosts[at].replica.is_none() {
--- a/tests/figures.rs
+++ b/tests/figures.rs
@@ -52,9 +52,9 @@
 
 /// Returns the highest cost of any instance over `length`: percent of a core, bytes
 /// of memory, bytes sent a second.
-async fn highest_cost(cell: &Cell, length: Duration) -> (f64, u64, u64) {
+async fn highest_of(cell: &Cell, length: Duration) -> (f64, u64, u64) {
     let mut before = Vec::new();
-    for at in 0..NINE.len() {
+    for at in 0..cell.instances.len() {
         before.push((cost(cell.instances[at].pid()), sent_bytes(cell, at).await));
     }
     sleep(length).await;
@@ -158,7 +158,7 @@
     async fn cost_of_control() {
         let cell = Cell::serving(&NINE, 2, Duration::from_millis(5)).await;
         sleep(Duration::from_secs(3)).await;
-        let (cpu, memory, bytes) = highest_cost(&cell, Duration::from_secs(10)).await;
+        let (cpu, memory, bytes) = highest_of(&cell, Duration::from_secs(10)).await;
         println!("idle: {cpu:.2} % of a core, {:.1} MB, {bytes} B/s at most", memory as f64 / 1e6);
         assert!(cpu <= 1.8, "{cpu} %");
         assert!(memory <= 32 << 20, "{memory} bytes");
@@ -186,3 +186,63 @@
         show("latency added at p50, one request at a time", added, Duration::from_millis(1));
     }
 }
+
+/// Slopes for the capacity page: cost by instances, and by idle workers.
+mod slopes {
+    use std::sync::{Arc, Mutex};
+
+    use plantaincross::core::job::Size;
+    use plantaincross::standin::worker;
+
+    use super::*;
+
+    #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+    #[ignore = "timed"]
+    async fn slope_of_instances() {
+        for count in [3, 6, 12] {
+            let zones: Vec<&str> = (0..count).map(|at| NINE[at % 4]).collect();
+            let cell = Cell::serving(&zones, 1, Duration::from_millis(5)).await;
+            sleep(Duration::from_secs(3)).await;
+            let (cpu, memory, bytes) = highest_of(&cell, Duration::from_secs(10)).await;
+            println!(
+                "{count} instances: {cpu:.2} %, {:.1} MB, {bytes} B/s",
+                memory as f64 / 1e6
+            );
+        }
+    }
+
+    #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+    #[ignore = "timed"]
+    async fn slope_of_workers() {
+        let cell = Cell::serving(&["a", "a", "a"], 1, Duration::from_millis(5)).await;
+        let entries: Vec<_> = cell.instances.iter().map(|i| i.http).collect();
+        let record: Arc<Mutex<worker::Record>> = Arc::default();
+        let mut started = 0;
+        for count in [0, 100, 200, 400] {
+            while started < count {
+                let plan = worker::Plan {
+                    name: format!("w{started}"),
+                    zone: "a".to_owned(),
+                    rack: format!("r{}", started / 6),
+                    size: Size {
+                        cpu_milli: 32_000,
+                        memory_mb: 131_072,
+                        accelerators: 0,
+                    },
+                    fails: false,
+                };
+                // Each keeps to one instance, as connections through a balancer do.
+                let entry = vec![entries[started % 3]];
+                let token = cell.token.child_token();
+                tokio::spawn(worker::run(plan, entry, None, Arc::clone(&record), token));
+                started += 1;
+            }
+            sleep(Duration::from_secs(5)).await;
+            let (cpu, memory, bytes) = highest_of(&cell, Duration::from_secs(8)).await;
+            println!(
+                "{count} workers: {cpu:.2} %, {:.1} MB, {bytes} B/s",
+                memory as f64 / 1e6
+            );
+        }
+    }
+}
