Drive jobs through the death and the pause of their zone leader with daemons

Cause: tasks were only driven with fake workers inside one process. Change: two tests with three daemons and stand-in workers that keep one record of where each task runs; kill -9 and SIGSTOP of the zone leader.

--- /dev/null
+++ b/tests/tasks.rs
@@ -0,0 +1,119 @@
+//! The task plane with real daemons and stand-in workers, through deaths and
+//! pauses of leaders.
+
+mod support;
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use plantaincross::core::job::Size;
+use plantaincross::http::{ShownJob, Submitted};
+use plantaincross::standin::worker::{self, Record};
+use support::{Cell, PATIENCE, kind};
+use tokio::time::{Instant, sleep};
+
+fn start_workers(cell: &Cell, zone: &str, count: usize) -> Arc<Mutex<Record>> {
+    let record: Arc<Mutex<Record>> = Arc::default();
+    let entries: Vec<_> = cell.instances.iter().map(|i| i.http).collect();
+    for at in 0..count {
+        let plan = worker::Plan {
+            name: format!("w-{zone}-{at}"),
+            zone: zone.to_owned(),
+            rack: format!("r{at}"),
+            size: Size {
+                cpu_milli: 4_000,
+                memory_mb: 8_000,
+                accelerators: 0,
+            },
+            fails: false,
+        };
+        let token = cell.token.child_token();
+        let record = Arc::clone(&record);
+        tokio::spawn(worker::run(plan, entries.clone(), None, record, token));
+    }
+    record
+}
+
+async fn submit(cell: &Cell, at: usize, id: &str, tasks: u32) -> Option<Submitted> {
+    let body = format!(
+        r#"{{"name":"j","class":"batch","tasks":{tasks},"run_ms":400,
+            "size":{{"cpu_milli":1000,"memory_mb":500}}}}"#
+    );
+    let mut client = cell.client(at, "big-key");
+    let headers = [("idempotency-key", id)];
+    let answer = client.send("POST", "/v1/jobs", &headers, body).await.ok()?;
+    plantaincross::client::read(&answer).ok()
+}
+
+async fn submit_until_accepted(cell: &Cell, at: usize, id: &str, tasks: u32) -> Submitted {
+    let started = Instant::now();
+    loop {
+        if let Some(submitted) = submit(cell, at, id, tasks).await {
+            return submitted;
+        }
+        assert!(started.elapsed() < PATIENCE, "{id} is not accepted");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+async fn wait_done(cell: &Cell, at: usize, job: &Submitted, tasks: u32) {
+    let started = Instant::now();
+    loop {
+        let path = format!("/v1/jobs/{}", job.id);
+        let mut client = cell.client(at, "big-key");
+        let shown = client.call::<ShownJob>("GET", &path, None::<&()>).await;
+        if shown.as_ref().is_ok_and(|job| job.ended == tasks) {
+            return;
+        }
+        assert!(started.elapsed() < PATIENCE, "{shown:?}");
+        sleep(Duration::from_millis(200)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn jobs_survive_the_death_and_the_pause_of_their_leader() {
+    let mut cell = Cell::serving(&["a", "a", "a"], 1, Duration::from_millis(5)).await;
+    let record = start_workers(&cell, "a", 3);
+    let leader = cell.zone_leader(0, "a").await;
+    let other = (leader + 1) % 3;
+    let first = submit_until_accepted(&cell, other, "one", 60).await;
+    sleep(Duration::from_millis(800)).await;
+    cell.kill(leader);
+    let second = submit_until_accepted(&cell, other, "two", 20).await;
+    wait_done(&cell, other, &first, 60).await;
+    wait_done(&cell, other, &second, 20).await;
+    cell.restart(leader);
+    cell.wait_serving(leader).await;
+    let paused = cell.zone_leader(leader, "a").await;
+    let witness = (paused + 1) % 3;
+    let third = submit_until_accepted(&cell, witness, "three", 40).await;
+    cell.pause(paused);
+    sleep(Duration::from_secs(3)).await;
+    cell.resume(paused);
+    wait_done(&cell, witness, &third, 40).await;
+    // The same submission again is the same job.
+    let again = submit_until_accepted(&cell, witness, "three", 40).await;
+    assert_eq!(again.id, third.id);
+    let record = record.lock().expect("record");
+    assert_eq!(record.most, 1, "a task ran in {} places", record.most);
+    assert_eq!(record.ended, 120);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn job_that_can_never_run_is_refused_with_the_dimension() {
+    let cell = Cell::serving(&["a"], 1, Duration::from_millis(5)).await;
+    let _record = start_workers(&cell, "a", 1);
+    submit_until_accepted(&cell, 0, "fits", 1).await;
+    let body =
+        r#"{"name":"j","class":"batch","tasks":1,"size":{"cpu_milli":1000,"memory_mb":9000}}"#;
+    let mut client = cell.client(0, "big-key");
+    let answer = client
+        .send("POST", "/v1/jobs", &[], body)
+        .await
+        .expect("answers");
+    assert_eq!(
+        kind(answer.body()),
+        ("unplaceable".to_owned(), "not_run".to_owned())
+    );
+    assert!(String::from_utf8_lossy(answer.body()).contains("memory"));
+}
