--- a/src/cmd/local.rs
+++ b/src/cmd/local.rs
@@ -17,7 +17,8 @@
 use crate::core::job::Size;
 use crate::error::{Error, Kind, Result};
 use crate::http::{GiveBody, operator_token};
-use crate::node::{self, Started};
+use crate::metrics::Totals;
+use crate::node::{self, Node, Started};
 use crate::settings::Settings;
 use crate::standin::{Plan, Upstream, worker};
 use crate::util::sha256;
@@ -100,10 +101,11 @@
     let seconds = args.seconds.map(Duration::from_secs);
     wait_end(seconds).await?;
     let all: Vec<Status> = operator.call("GET", "/v1/status", None::<&()>).await?;
+    let totals = cell.totals();
     cell.stop().await;
     stand_ins.cancel();
     let record = record.lock().expect("record lock");
-    summarise(&all, &record)
+    summarise(&all, &totals, &record)
 }
 
 /// The data folder of a local cell, removed at the end if it was made for it.
@@ -137,6 +139,7 @@
 /// The instances of a local cell.
 struct Cell {
     addresses: Vec<SocketAddr>,
+    nodes: Vec<Node>,
     stop: CancellationToken,
     tasks: Vec<tokio::task::JoinHandle<()>>,
 }
@@ -160,6 +163,7 @@
         let stop = CancellationToken::new();
         let mut cell = Self {
             addresses: Vec::new(),
+            nodes: Vec::new(),
             stop,
             tasks: Vec::new(),
         };
@@ -180,6 +184,7 @@
 
     fn add(&mut self, started: Started) {
         self.addresses.push(started.http);
+        self.nodes.push(started.node.clone());
         let stop = self.stop.clone();
         let task = tokio::spawn(started.serve(async move { stop.cancelled().await }));
         self.tasks.push(task);
@@ -190,6 +195,14 @@
         Client::new(self.addresses[0], token, Duration::from_secs(5))
     }
 
+    fn totals(&self) -> Totals {
+        let mut totals = Totals::default();
+        for node in &self.nodes {
+            totals.add(&node.traffic.metrics.totals());
+        }
+        totals
+    }
+
     async fn stop(self) {
         self.stop.cancel();
         for task in self.tasks {
@@ -364,14 +377,32 @@
     Ok(())
 }
 
-fn summarise(all: &[Status], record: &worker::Record) -> Result<()> {
-    let mut sums: BTreeMap<&str, u64> = BTreeMap::new();
+fn summarise(all: &[Status], totals: &Totals, record: &worker::Record) -> Result<()> {
+    let mut sums: BTreeMap<&str, (u64, Duration, u32)> = BTreeMap::new();
     for stat in all.iter().flat_map(|s| &s.teams) {
-        *sums.entry(&stat.team).or_default() += stat.completed;
+        let sum = sums.entry(&stat.team).or_default();
+        sum.0 += stat.completed;
+        sum.1 += stat.slot_time;
+        sum.2 = stat.share;
     }
+    let time: f64 = sums.values().map(|s| s.1.as_secs_f64()).sum();
+    let shares: u32 = sums.values().map(|s| s.2).sum();
     print("")?;
-    for (team, completed) in sums {
-        print(format_args!("{team}: {completed} requests completed"))?;
+    for (team, (completed, used, share)) in sums {
+        print(format_args!(
+            "{team}: {completed} requests completed, {:.1} % of slot time, share {:.1} %",
+            used.as_secs_f64() / time.max(f64::MIN_POSITIVE) * 100.0,
+            f64::from(share) / f64::from(shares.max(1)) * 100.0
+        ))?;
+    }
+    let wait = |quantile: f64| totals.waiting.value_at_quantile(quantile) as f64 / 1_000.0;
+    print(format_args!(
+        "waiting p50 {:.2} ms, p99 {:.2} ms",
+        wait(0.5),
+        wait(0.99)
+    ))?;
+    for (kind, count) in &totals.refused {
+        print(format_args!("refused {count} {kind}"))?;
     }
     print(format_args!(
         "{} tasks started, {} ended, {} at most in one place",
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -21,6 +21,8 @@
 
 /// Length of the window over which nearness to share is measured.
 const NEARNESS_WINDOW: Duration = Duration::from_secs(10);
+/// Longest waiting time that is told apart, in microseconds.
+const MAX_WAIT_MICROS: u64 = 3_600_000_000;
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ByKind {
@@ -54,6 +56,35 @@
     messages_received: Gauge,
     bytes_received: Gauge,
     nearness: Mutex<Nearness>,
+    totals: Mutex<Totals>,
+}
+
+/// What an instance has counted since its start.
+#[derive(Clone, Debug)]
+pub struct Totals {
+    /// Waiting times in microseconds.
+    pub waiting: hdrhistogram::Histogram<u64>,
+    /// Refusals and failures by kind.
+    pub refused: BTreeMap<Kind, u64>,
+}
+
+impl Default for Totals {
+    fn default() -> Self {
+        Self {
+            waiting: hdrhistogram::Histogram::new(2).expect("valid precision"),
+            refused: BTreeMap::new(),
+        }
+    }
+}
+
+impl Totals {
+    /// Adds the totals of another instance.
+    pub fn add(&mut self, other: &Self) {
+        self.waiting.add(&other.waiting).expect("grows as needed");
+        for (kind, count) in &other.refused {
+            *self.refused.entry(*kind).or_default() += count;
+        }
+    }
 }
 
 impl Default for Metrics {
@@ -78,6 +109,7 @@
             messages_received: Gauge::default(),
             bytes_received: Gauge::default(),
             nearness: Mutex::default(),
+            totals: Mutex::default(),
         };
         metrics.registry = Mutex::new(metrics.register());
         metrics
@@ -160,6 +192,15 @@
     /// Counts the waiting time of a request that got its slot.
     pub fn waited(&self, time: Duration) {
         self.waiting.observe(time.as_secs_f64());
+        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        let mut totals = self.totals.lock().expect("totals lock");
+        // Longer than the histogram can tell is of no interest.
+        let _ = totals.waiting.record(micros.min(MAX_WAIT_MICROS));
+    }
+
+    /// Returns what was counted since the start.
+    pub fn totals(&self) -> Totals {
+        self.totals.lock().expect("totals lock").clone()
     }
 
     /// Counts a refusal or failure.
@@ -168,6 +209,8 @@
             kind: kind.to_string(),
         };
         self.refusals.get_or_create(&label).inc();
+        let mut totals = self.totals.lock().expect("totals lock");
+        *totals.refused.entry(kind).or_default() += 1;
     }
 
     /// Counts a retry.
--- a/tests/figures.rs
+++ b/tests/figures.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use std::io::Write;
 use std::time::Duration;
 
 use plantaincross::client::Client;
@@ -165,6 +166,47 @@
         assert!(bytes <= 5_000, "{bytes} bytes a second");
     }
 
+    async fn commit_latency_against_its_floor() {
+        let cell = Cell::serving(&["a", "b", "c"], 1, Duration::from_millis(5)).await;
+        let path = cell.folder.path().join("floor");
+        let mut file = std::fs::File::create(&path).expect("file");
+        let mut floor = Vec::new();
+        for _ in 0..200 {
+            let started = Instant::now();
+            file.write_all(&[7; 200]).expect("writes");
+            file.sync_data().expect("syncs");
+            floor.push(started.elapsed());
+        }
+        let mut trips = Vec::new();
+        let mut client = Client::new(cell.instances[0].http, None, PATIENCE);
+        for _ in 0..200 {
+            let started = Instant::now();
+            client.send("GET", "/healthz", &[], "").await.expect("answers");
+            trips.push(started.elapsed());
+        }
+        let mut commits = Vec::new();
+        for at in 0..200 {
+            let started = Instant::now();
+            cell.give("big", &format!("key-{at}"), None).await;
+            commits.push(started.elapsed());
+        }
+        for times in [&mut floor, &mut trips, &mut commits] {
+            times.sort_unstable();
+        }
+        println!(
+            "p50: sync {:?}, HTTP round trip {:?}, commit {:?}; p99 of commits {:?}",
+            floor[100], trips[100], commits[100], commits[197]
+        );
+        let started = Instant::now();
+        let gives = (0..500).map(|at| {
+            let key = format!("many-{at}");
+            let cell = &cell;
+            async move { cell.give("big", &key, None).await }
+        });
+        futures_util::future::join_all(gives).await;
+        println!("commits a second, 500 at once: {:.0}", 500.0 / started.elapsed().as_secs_f64());
+    }
+
     async fn latency_added_by_an_entry_instance() {
         let cell = Cell::serving(&["a", "a"], 2, Duration::ZERO).await;
         let upstream = cell.all_upstreams()[0].address();
