Test the repair of the root group and the loss of a disk

Cause: replacement of a lost voter, a second loss right after it and a replica without its former disk were only met by chance in the schedules. Change: two tests with whole control states; keys are looked up by digest when one is given (a walk over all keys before); a planned stop answers waiting worker polls at once in place of after up to 4 s.

--- a/src/core/control/mod.rs
+++ b/src/core/control/mod.rs
@@ -493,6 +493,7 @@
 
     fn leave(&mut self, now: Moment) {
         self.leaving = true;
+        self.release_polls(now);
         self.agent.leave();
         self.ping_at = now;
         self.effects.push(Effect::Event(Event::Draining {}));
--- a/src/core/control/tasks.rs
+++ b/src/core/control/tasks.rs
@@ -181,6 +181,14 @@
         }
     }
 
+    /// Answers all waiting polls at once, before a planned stop.
+    pub(super) fn release_polls(&mut self, now: Moment) {
+        for pending in self.polls.values_mut() {
+            pending.until = now;
+        }
+        self.answer_polls(now);
+    }
+
     /// Ends the task plane when another instance leads the zone.
     pub(super) fn close_fleet(&mut self, now: Moment) {
         self.fleet = None;
--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -3,7 +3,7 @@
 //! Commands are applied in the order of the log on every instance. Applying is
 //! deterministic and takes no time of its own.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
@@ -198,6 +198,8 @@
     pub history: VecDeque<Push>,
     /// Keys by name.
     pub keys: BTreeMap<String, Key>,
+    /// Digests of all keys that were ever given.
+    pub digests: BTreeSet<[u8; 32]>,
     /// Rises with each change of a key.
     pub key_changes: u64,
     /// Leaderships by zone.
@@ -336,7 +338,7 @@
             let message = format!("key {id} was given before");
             return Outcome::Refused(Error::new(Kind::VersionConflict, message));
         }
-        if self.keys.values().any(|old| old.digest == key.digest) {
+        if !self.digests.insert(key.digest) {
             let message = "a key with this secret was given before";
             return Outcome::Refused(Error::new(Kind::VersionConflict, message));
         }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -83,6 +83,7 @@
     next_call: u64,
     beats: BTreeMap<u64, usize>,
     replies: BTreeMap<u64, Answer>,
+    stays_down: BTreeSet<usize>,
     seen: BTreeMap<usize, Seen>,
     withdrawn: Option<u64>,
     withdraw_call: Option<u64>,
@@ -123,6 +124,7 @@
             next_call: 0,
             beats: BTreeMap::new(),
             replies: BTreeMap::new(),
+            stays_down: BTreeSet::new(),
             seen: BTreeMap::new(),
             withdrawn: None,
             withdraw_call: None,
@@ -433,7 +435,10 @@
                     for _ in 0..3 {
                         self.submit(at);
                     }
-                } else if self.hosts[at].control.is_none() && ticks.is_multiple_of(80) {
+                } else if self.hosts[at].control.is_none()
+                    && !self.stays_down.contains(&at)
+                    && ticks.is_multiple_of(80)
+                {
                     self.start(at);
                 }
             }
@@ -898,6 +903,79 @@
     cell.recover();
 }
 
+impl Cell {
+    fn voters(&self, at: usize) -> Vec<String> {
+        let control = self.hosts[at].control.as_ref().expect("runs");
+        let voters = control.replica().voters().iter();
+        voters.map(|v| v.name.clone()).collect()
+    }
+
+    /// Pushes a change and requires that it is in force at the instances that run.
+    fn push_limit(&mut self, at: usize, limit: u64) {
+        let control = self.hosts[at].control.as_ref().expect("runs");
+        let (version, base) = (
+            control.registry().version,
+            control.registry().config.clone(),
+        );
+        let mut config = base.clone();
+        config.teams.get_mut("big").expect("known").limit = limit;
+        let push = Command::push(version, &base, &config, "test");
+        let call = self.ask(at, Target::Root, Query::Propose(push));
+        self.run_until(self.time + 2_000_000, false);
+        let pushed = Answer::Outcome(Outcome::Pushed(version + 1));
+        assert_eq!(self.replies.get(&call), Some(&pushed));
+        for host in self.hosts.iter().filter(|h| h.control.is_some()) {
+            assert_eq!(host.version, version + 1, "{}", host.name);
+        }
+    }
+
+    fn lose(&mut self, at: usize) {
+        self.stays_down.insert(at);
+        self.kill(at);
+    }
+}
+
+#[test]
+fn spare_replaces_a_lost_voter_before_a_second_one_is_lost() {
+    let mut cell = Cell::new(79);
+    cell.prepare();
+    cell.run_until(cell.time + 2_000_000, false);
+    assert_eq!(cell.voters(0), ["i0", "i1", "i2"]);
+    cell.lose(2);
+    cell.run_until(cell.time + 10_000_000, false);
+    assert_eq!(cell.voters(0), ["i0", "i1", "i3"]);
+    cell.push_limit(0, 5);
+    // The second loss comes right after the repair.
+    cell.lose(1);
+    cell.run_until(cell.time + 4_000_000, false);
+    cell.push_limit(0, 6);
+    cell.push_limit(3, 4);
+}
+
+#[test]
+fn voter_that_lost_its_disk_comes_back_as_another_replica() {
+    let mut cell = Cell::new(80);
+    cell.prepare();
+    cell.run_until(cell.time + 2_000_000, false);
+    let before = cell.voters(0);
+    cell.lose(2);
+    cell.hosts[2].disk = Disk::default();
+    cell.hosts[2].replica = 777;
+    cell.hosts[2].version = 0;
+    cell.stays_down.clear();
+    cell.start(2);
+    cell.run_until(cell.time + 3_000_000, false);
+    let control = cell.hosts[2].control.as_ref().expect("runs");
+    assert!(
+        !control.replica().is_voter(),
+        "it must not vote with a lost memory"
+    );
+    assert_eq!(cell.voters(0), before);
+    cell.run_until(cell.time + 10_000_000, false);
+    assert_eq!(cell.voters(0).len(), 3);
+    cell.push_limit(2, 5);
+}
+
 #[test]
 fn racing_operators_have_one_winner_and_resends_get_the_first_answer() {
     let mut cell = Cell::new(78);
