--- /dev/null
+++ b/src/driver.rs
@@ -0,0 +1,260 @@
+//! The control thread: inputs in, effects out, records synced in between.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
+
+use crate::core::consensus::Ready;
+use crate::core::control::{Answer, Control, Effect, Input};
+use crate::core::registry::InstanceId;
+use crate::core::time::Moment;
+use crate::event::Event;
+use crate::net::{Link, Mesh, Notice};
+use crate::node::Order;
+use crate::store::Wal;
+use crate::traffic::{Traffic, View};
+use crate::wire::Body;
+
+/// Interval of the control loop's ticks.
+const TICK_EVERY: Duration = Duration::from_millis(50);
+/// Inputs taken before the log is synced once for all of them.
+const BATCH_MAX: usize = 512;
+/// A gap between ticks above this counts as a pause of the process.
+const PAUSE_MIN: Duration = Duration::from_millis(1_000);
+
+/// What the latest published view was made of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Published {
+    version: u64,
+    key_changes: u64,
+    tombstones: usize,
+    zones: usize,
+}
+
+/// The control thread's loop.
+pub struct Driver {
+    pub(crate) control: Control,
+    pub(crate) wal: Option<Wal>,
+    pub(crate) backlog: Vec<Ready>,
+    pub(crate) traffic: Arc<Traffic>,
+    pub(crate) mesh: Arc<Mesh>,
+    pub(crate) links: HashMap<InstanceId, Vec<Link>>,
+    pub(crate) replies: HashMap<u64, oneshot::Sender<Answer>>,
+    pub(crate) next_call: u64,
+    pub(crate) published: Published,
+    pub(crate) stop: CancellationToken,
+}
+
+impl Driver {
+    /// Runs until the instance is stopped.
+    pub async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<Notice>,
+        mut orders: mpsc::Receiver<Order>,
+    ) {
+        let mut ticks = interval(TICK_EVERY);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut last_tick = self.now();
+        loop {
+            tokio::select! {
+                biased;
+                () = self.stop.cancelled() => return,
+                _ = ticks.tick() => {
+                    let now = self.now();
+                    self.note_pause(now.since(last_tick));
+                    last_tick = now;
+                    self.step(Input::Tick);
+                }
+                Some(notice) = inbox.recv() => self.take_notice(notice),
+                Some(order) = orders.recv() => self.take_order(order),
+            }
+            for _ in 0..BATCH_MAX {
+                if let Ok(notice) = inbox.try_recv() {
+                    self.take_notice(notice);
+                } else if let Ok(order) = orders.try_recv() {
+                    self.take_order(order);
+                } else {
+                    break;
+                }
+            }
+            self.settle();
+        }
+    }
+
+    fn now(&self) -> Moment {
+        self.traffic.clock.now()
+    }
+
+    fn note_pause(&self, gap: Duration) {
+        if gap > PAUSE_MIN {
+            let millis = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
+            self.traffic.record(Event::Paused { millis });
+        }
+    }
+
+    fn step(&mut self, input: Input) {
+        let now = self.now();
+        let effects = self.control.step(now, input);
+        self.carry_out(effects);
+    }
+
+    fn take_notice(&mut self, notice: Notice) {
+        match notice {
+            Notice::Up(peer, link) => {
+                let links = self.links.entry(peer.id).or_default();
+                links.push(link);
+                self.step(Input::PeerUp(peer));
+            }
+            Notice::Down(id, number) => {
+                let Some(links) = self.links.get_mut(&id) else {
+                    return;
+                };
+                links.retain(|link| link.number != number);
+                if links.is_empty() {
+                    self.links.remove(&id);
+                    self.step(Input::PeerDown(id));
+                }
+            }
+            Notice::Message(from, body) => {
+                if let Body::Ping(ping) = &body {
+                    self.mesh.learn(&ping.peers);
+                }
+                self.step(Input::Message(from, body));
+            }
+            Notice::Refused(reason) => self.traffic.record(Event::PeerRefused { reason }),
+        }
+    }
+
+    fn take_order(&mut self, order: Order) {
+        match order {
+            Order::Ask(question) => {
+                self.next_call += 1;
+                let call = self.next_call;
+                self.replies.insert(call, question.reply);
+                self.step(Input::Ask {
+                    call,
+                    target: question.target,
+                    query: question.query,
+                });
+            }
+            Order::Leave => self.step(Input::Leave),
+            Order::Resign(done) => {
+                self.traffic.gate.lock().expect("gate lock").return_all();
+                // The returned counters go out with this tick.
+                self.step(Input::Tick);
+                self.control.resign();
+                let _ = done.send(());
+            }
+        }
+    }
+
+    // Stores, sends and applies until nothing is left to do.
+    fn settle(&mut self) {
+        loop {
+            let now = self.now();
+            let ready = self.control.take_ready(now);
+            if is_idle(&ready) && self.backlog.is_empty() {
+                break;
+            }
+            self.backlog.push(ready);
+            if !self.store_backlog() {
+                break;
+            }
+        }
+        self.compact();
+        self.traffic.pump();
+    }
+
+    // False if the disk refused; nothing is sent before it takes the records.
+    fn store_backlog(&mut self) -> bool {
+        while !self.backlog.is_empty() {
+            let ready = &self.backlog[0];
+            if let Some(wal) = &mut self.wal
+                && let Err(err) = wal.store(ready)
+            {
+                log::error!("the data folder takes no records: {err}");
+                return false;
+            }
+            let ready = self.backlog.remove(0);
+            let effects = self.control.stored(self.traffic.clock.now(), ready);
+            self.carry_out(effects);
+        }
+        true
+    }
+
+    fn compact(&mut self) {
+        if !self.backlog.is_empty() {
+            return;
+        }
+        let Some(snapshot) = self.control.compact() else {
+            return;
+        };
+        let log = self.control.replica().log();
+        let entries = log.slice(log.first_index(), usize::MAX);
+        if let Some(wal) = &mut self.wal
+            && let Err(err) = wal.compact(&snapshot, &entries)
+        {
+            log::error!("the snapshot was not stored: {err}");
+        }
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send(to, body) => {
+                    if let Some(link) = self.links.get(&to).and_then(|links| links.last()) {
+                        link.send(body);
+                    }
+                }
+                Effect::Reply(call, answer) => {
+                    if let Some(reply) = self.replies.remove(&call) {
+                        let _ = reply.send(answer);
+                    }
+                }
+                Effect::Event(event) => self.traffic.record(event),
+                Effect::Publish => self.publish(),
+            }
+        }
+    }
+
+    fn publish(&mut self) {
+        let registry = self.control.registry();
+        let tombstones = self.control.tombstones();
+        if !self.control.replica().is_blank() {
+            self.mesh.set_founded();
+        }
+        let state = Published {
+            version: registry.version,
+            key_changes: registry.key_changes,
+            tombstones: tombstones.len(),
+            zones: registry.zone_names.len(),
+        };
+        if state != self.published {
+            self.published = state;
+            let view = View::new(
+                registry.keys.iter(),
+                |id| tombstones.contains(id),
+                registry.config.clone(),
+                registry.version,
+                registry.zone_names.clone(),
+            );
+            self.traffic.view.store(Arc::new(view));
+        }
+        let root = self.control.root_vouches_until();
+        let zone = self.control.zone_vouches_until();
+        self.traffic.set_fresh(root, zone);
+    }
+}
+
+fn is_idle(ready: &Ready) -> bool {
+    ready.hard.is_none()
+        && ready.snapshot.is_none()
+        && ready.truncate_from.is_none()
+        && ready.entries.is_empty()
+        && ready.messages.is_empty()
+        && ready.committed.is_empty()
+}
