Name the allocator, the participant and reservations by the field's terms

Cause: reading as a newcomer, `office`, `seat` and a method `seat` of the task plane said nothing to somebody who knows schedulers. Change: `core/allocator`, `lease::Participant`, `reserve`. Conclusion: no behaviour changed.

--- a/src/core/agent.rs
+++ b/src/core/agent.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::core::allocator::ALLOTMENT_TERM;
 use crate::core::escrow::Cell;
 use crate::core::gate::{Announcement, Gate, SourceKey, cell_of};
-use crate::core::office::ALLOTMENT_TERM;
 use crate::core::registry::InstanceId;
 use crate::core::time::Moment;
 use crate::wire;
--- a/src/core/office/division.rs
+++ b/src/core/allocator/division.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{DIVIDE_EVERY, FLEET, Holder, Office};
+use super::{Allocator, DIVIDE_EVERY, FLEET, Holder};
 use crate::core::escrow::Cell;
 use crate::core::registry::InstanceId;
 use crate::core::share::{Claim, Claimant, divide, round_down, targets};
@@ -26,7 +26,7 @@
     }
 }
 
-impl Office {
+impl Allocator {
     /// Divides what is free by demand and recalls what is idle elsewhere.
     pub(super) fn divide(&mut self, now: Moment, force: bool) {
         if !self.may_give(now) || (!force && now < self.divide_at) {
--- a/src/core/office/expiry.rs
+++ b/src/core/allocator/expiry.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use super::{ALLOTMENT_TERM, FORGET_AFTER, Host, Linger, Office, SILENT_AFTER};
+use super::{ALLOTMENT_TERM, Allocator, FORGET_AFTER, Host, Linger, SILENT_AFTER};
 use crate::core::escrow::Cell;
 use crate::core::registry::InstanceId;
 use crate::core::time::{Moment, with_clock_margin};
 
-impl Office {
+impl Allocator {
     pub(super) fn expire_holders(&mut self, now: Moment) {
         let term = with_clock_margin(ALLOTMENT_TERM);
         let expired: Vec<InstanceId> = self
--- a/src/core/office/mod.rs
+++ b/src/core/allocator/mod.rs
@@ -71,7 +71,7 @@
 
 /// State of a zone leader for one term of leadership.
 #[derive(Debug)]
-pub struct Office {
+pub struct Allocator {
     zone: String,
     term: u64,
     taken_at: Moment,
@@ -88,8 +88,8 @@
     divide_at: Moment,
 }
 
-impl Office {
-    /// Takes office at `now`. In the first term of a zone there is no predecessor
+impl Allocator {
+    /// Starts at `now`. In the first term of a zone there is no predecessor
     /// whose allotments could still be in use.
     pub const fn new(
         zone: String,
--- a/src/core/office/reports.rs
+++ b/src/core/allocator/reports.rs
@@ -2,14 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use super::{Holder, Host, Office, balance};
+use super::{Allocator, Holder, Host, balance};
 use crate::core::escrow::{Cell, Issuer};
 use crate::core::registry::InstanceId;
 use crate::core::time::Moment;
 use crate::util::cell_named;
 use crate::wire;
 
-impl Office {
+impl Allocator {
     /// Takes an entry instance's report and returns the allotment that answers it.
     pub fn report(
         &mut self,
--- a/src/core/control/claims.rs
+++ b/src/core/control/claims.rs
@@ -67,7 +67,7 @@
 
 impl Control {
     pub(super) fn take_claim(&mut self, now: Moment, origin: Origin, attempt: &Attempt) {
-        let ready = self.seat.may_act(now)
+        let ready = self.participant.may_act(now)
             && attempt.home == self.me.zone
             && self.copies.recovery.is_none();
         if !ready {
@@ -110,7 +110,7 @@
     }
 
     pub(super) fn take_settlement(&mut self, now: Moment, origin: Origin, settlement: Settlement) {
-        if !self.seat.may_act(now) || settlement.home != self.me.zone {
+        if !self.participant.may_act(now) || settlement.home != self.me.zone {
             let err = Error::from(Kind::ClaimUnavailable);
             self.answer(now, origin, Answer::Failed(err));
             return;
@@ -267,7 +267,7 @@
     }
 
     pub(super) fn tick_claims(&mut self, now: Moment) {
-        if !self.seat.may_act(now) {
+        if !self.participant.may_act(now) {
             return;
         }
         if let Some(recovery) = &self.copies.recovery {
--- a/src/core/control/mod.rs
+++ b/src/core/control/mod.rs
@@ -18,14 +18,14 @@
 pub use tasks::JobLine;
 
 use crate::core::agent::Agent;
+use crate::core::allocator::Allocator;
 use crate::core::claim;
 use crate::core::consensus::{Ready, Replica, Stored};
 use crate::core::fleet::Fleet;
 use crate::core::freshness::Tracker;
 use crate::core::gate::Gate;
 use crate::core::job::{Ended, Task};
-use crate::core::lease::{Register, Seat};
-use crate::core::office::Office;
+use crate::core::lease::{Participant, Register};
 use crate::core::registry::{Command, InstanceId, Member, Outcome, Registry};
 use crate::core::time::Moment;
 use crate::error::{Error, Kind};
@@ -157,9 +157,9 @@
     registry: Registry,
     peers: BTreeMap<InstanceId, Known>,
     fresh: Tracker,
-    seat: Seat,
+    participant: Participant,
     agent: Agent,
-    office: Option<Office>,
+    allocator: Option<Allocator>,
     fleet: Option<Fleet>,
     polls: BTreeMap<String, Pending>,
     ends: BTreeMap<Task, Ended>,
@@ -207,9 +207,9 @@
             registry,
             peers: BTreeMap::new(),
             fresh: Tracker::default(),
-            seat: Seat::new(member, now),
+            participant: Participant::new(member, now),
             agent: Agent::new(me.zone.clone()),
-            office: None,
+            allocator: None,
             fleet: None,
             polls: BTreeMap::new(),
             ends: BTreeMap::new(),
@@ -285,13 +285,13 @@
     }
 
     /// Returns the zone leadership as this instance sees it.
-    pub const fn seat(&self) -> &Seat {
-        &self.seat
+    pub const fn participant(&self) -> &Participant {
+        &self.participant
     }
 
     /// Returns the zone leader's state, while this instance leads its zone.
-    pub const fn office(&self) -> Option<&Office> {
-        self.office.as_ref()
+    pub const fn allocator(&self) -> Option<&Allocator> {
+        self.allocator.as_ref()
     }
 
     /// Takes an input and returns what is to be done once [`Control::take_ready`]
@@ -501,7 +501,7 @@
 
     /// Gives up zone leadership, at the end of a planned stop.
     pub const fn resign(&mut self) {
-        self.seat.resign();
+        self.participant.resign();
     }
 }
 
--- a/src/core/control/peers.rs
+++ b/src/core/control/peers.rs
@@ -126,7 +126,7 @@
         };
         known.heard = now;
         if known.peer.zone == self.me.zone {
-            self.seat.hear(now, from);
+            self.participant.hear(now, from);
         }
         match body {
             Body::Raft(raft) => self.replica.step(now, raft),
@@ -134,15 +134,19 @@
             Body::Call(call) => self.take_call(now, from, &call),
             Body::Return(ret) => self.take_return(now, &ret),
             Body::LeaseRequest(request) => self.take_lease_request(now, from, &request),
-            Body::LeaseReply(reply) => self.seat.take_lease(
+            Body::LeaseReply(reply) => self.participant.take_lease(
                 reply.term,
                 Moment(reply.sent_at),
                 reply.granted && reply.zone == self.me.zone,
             ),
             Body::PromiseRequest(request) => self.take_promise_request(now, from, &request),
             Body::PromiseReply(reply) => {
-                self.seat
-                    .take_promise(from, reply.term, Moment(reply.sent_at), reply.granted);
+                self.participant.take_promise(
+                    from,
+                    reply.term,
+                    Moment(reply.sent_at),
+                    reply.granted,
+                );
             }
             Body::Report(report) => self.take_report(now, from, &report),
             Body::Allotment(allotment) => self.take_allotment(now, from, &allotment),
--- a/src/core/control/query.rs
+++ b/src/core/control/query.rs
@@ -4,11 +4,11 @@
 
 use super::tasks::JobLine;
 use super::{Control, Origin};
+use crate::core::allocator::{Heartbeat, Seen};
 use crate::core::claim;
 use crate::core::fleet;
 use crate::core::gate::TeamStat;
 use crate::core::job::{self, Job, Spec};
-use crate::core::office::{Heartbeat, Seen};
 use crate::core::registry::{Command, InstanceId, Outcome, Push};
 use crate::core::time::Moment;
 use crate::error::{Error, Kind};
@@ -303,8 +303,8 @@
                 .map(|v| v.name.clone())
                 .collect(),
             root_term: self.replica.term(),
-            leads_zone: self.seat.may_act(now),
-            zone_term: self.seat.term(),
+            leads_zone: self.participant.may_act(now),
+            zone_term: self.participant.term(),
             peers: self
                 .peers
                 .values()
@@ -322,7 +322,7 @@
                 .map(fleet::Worker::stat)
                 .collect(),
             upstreams: self
-                .office
+                .allocator
                 .iter()
                 .flat_map(|o| o.hosts())
                 .map(|host| UpstreamStat {
--- a/src/core/control/root.rs
+++ b/src/core/control/root.rs
@@ -162,7 +162,7 @@
             granted,
         };
         if from == self.me.id {
-            self.seat
+            self.participant
                 .take_lease(reply.term, Moment(reply.sent_at), granted);
         } else {
             self.send(from, Body::LeaseReply(reply));
--- a/src/core/control/tasks.rs
+++ b/src/core/control/tasks.rs
@@ -42,7 +42,7 @@
 
 impl Control {
     pub(super) fn tick_tasks(&mut self, now: Moment) {
-        if !self.seat.may_act(now) || self.fleet.is_none() {
+        if !self.participant.may_act(now) || self.fleet.is_none() {
             return;
         }
         self.sync_jobs(now);
@@ -93,27 +93,27 @@
 
     // Moves units of team limits between the zone leader's accounts and the tasks.
     fn supply_units(&mut self, now: Moment) {
-        let (Some(office), Some(fleet)) = (&mut self.office, &mut self.fleet) else {
+        let (Some(allocator), Some(fleet)) = (&mut self.allocator, &mut self.fleet) else {
             return;
         };
         for team in fleet.take_adopted() {
-            office.adopt_units(&team, 1);
+            allocator.adopt_units(&team, 1);
         }
         for (team, units) in fleet.return_stock() {
-            office.put_units(&team, units);
+            allocator.put_units(&team, units);
         }
         for (team, wanted) in fleet.wanted_units() {
-            let units = office.take_units(now, &team, wanted);
+            let units = allocator.take_units(now, &team, wanted);
             fleet.add_units(&team, units, wanted);
         }
     }
 
     fn collect(&mut self, now: Moment) {
-        let (Some(office), Some(fleet)) = (&mut self.office, &mut self.fleet) else {
+        let (Some(allocator), Some(fleet)) = (&mut self.allocator, &mut self.fleet) else {
             return;
         };
         for (team, units) in fleet.return_stock() {
-            office.put_units(&team, units);
+            allocator.put_units(&team, units);
         }
         let new = fleet.take_ended();
         let events = fleet.take_events();
@@ -132,7 +132,7 @@
     }
 
     pub(super) fn take_poll(&mut self, now: Moment, origin: Origin, poll: &Poll) {
-        let refused = if !self.seat.may_act(now) || poll.zone != self.me.zone {
+        let refused = if !self.participant.may_act(now) || poll.zone != self.me.zone {
             let message = "this instance does not lead the worker's zone now";
             Some(Error::new(Kind::NoQuorum, message))
         } else {
@@ -200,7 +200,11 @@
     }
 
     pub(super) fn admit(&self, now: Moment, spec: &Spec) -> Answer {
-        let Some(fleet) = self.fleet.as_ref().filter(|_| self.seat.may_act(now)) else {
+        let Some(fleet) = self
+            .fleet
+            .as_ref()
+            .filter(|_| self.participant.may_act(now))
+        else {
             return Answer::Failed(Error::from(Kind::NoQuorum));
         };
         Answer::Admission {
--- a/src/core/control/zone.rs
+++ b/src/core/control/zone.rs
@@ -4,10 +4,10 @@
 
 use super::root::{NOBODY, Want, ZoneWants};
 use super::{Answer, Control, Effect, Origin, Query, Target};
+use crate::core::allocator::{Allocator, Heartbeat, Seen, UnitDemand};
 use crate::core::claim;
 use crate::core::fleet::Fleet;
 use crate::core::lease::Action;
-use crate::core::office::{Heartbeat, Office, Seen, UnitDemand};
 use crate::core::registry::InstanceId;
 use crate::core::time::Moment;
 use crate::error::{Error, Kind};
@@ -44,17 +44,17 @@
             .map(|k| k.peer.id)
             .collect();
         let root_heard = self.root_heard(now);
-        for action in self.seat.tick(now, &peers, root_heard) {
+        for action in self.participant.tick(now, &peers, root_heard) {
             self.act(now, action);
         }
         self.settle_authority(now);
-        if !self.seat.may_act(now) {
+        if !self.participant.may_act(now) {
             return;
         }
-        let Some(office) = &mut self.office else {
+        let Some(allocator) = &mut self.allocator else {
             return;
         };
-        for (to, allotment) in office.tick(now) {
+        for (to, allotment) in allocator.tick(now) {
             self.send_allotment(now, to, allotment);
         }
         self.report_wants(now);
@@ -110,9 +110,9 @@
             return;
         }
         let root_heard = self.root_heard(now);
-        let granted = self
-            .seat
-            .promise(now, from, request.term, request.has_authority, root_heard);
+        let granted =
+            self.participant
+                .promise(now, from, request.term, request.has_authority, root_heard);
         let reply = LeaseReply {
             zone: request.zone.clone(),
             term: request.term,
@@ -124,8 +124,8 @@
 
     pub(super) fn observe_leadership(&mut self, now: Moment) {
         let led = self.registry.zones.get(&self.me.zone).cloned();
-        let before = self.seat.led().cloned();
-        self.seat.observe(now, led.as_ref());
+        let before = self.participant.led().cloned();
+        self.participant.observe(now, led.as_ref());
         let Some(led) = led else {
             return;
         };
@@ -137,16 +137,16 @@
         if led.leader == self.me.id && !stays {
             let first = led.term == 1;
             let run_limit = self.longest_run();
-            let office = Office::new(self.me.zone.clone(), led.term, first, now, run_limit);
-            self.office = Some(office);
+            let allocator = Allocator::new(self.me.zone.clone(), led.term, first, now, run_limit);
+            self.allocator = Some(allocator);
             self.fleet = Some(Fleet::new(led.term, first, now));
             self.jobs_seen = u64::MAX;
             self.recover_claims(now, before.as_ref());
         } else if led.leader != self.me.id {
-            self.office = None;
+            self.allocator = None;
             self.close_fleet(now);
-        } else if let Some(office) = &mut self.office {
-            office.set_term(led.term);
+        } else if let Some(allocator) = &mut self.allocator {
+            allocator.set_term(led.term);
         }
         self.sync_units();
     }
@@ -162,14 +162,14 @@
     fn sync_units(&mut self) {
         let run_limit = self.longest_run();
         let zone = self.registry.zone_index(&self.me.zone);
-        let (Some(office), Some(zone)) = (&mut self.office, zone) else {
+        let (Some(allocator), Some(zone)) = (&mut self.allocator, zone) else {
             return;
         };
-        office.set_run_limit(run_limit);
+        allocator.set_run_limit(run_limit);
         for (team, issuer) in &self.registry.limits {
             let share = self.registry.config.teams.get(team).map_or(1, |t| t.share);
             let account = issuer.account(zone);
-            office.set_units(team, share, account.given, account.returned);
+            allocator.set_units(team, share, account.given, account.returned);
         }
         if let Some(fleet) = &mut self.fleet {
             fleet.configure(&self.registry.config);
@@ -177,13 +177,13 @@
     }
 
     fn settle_authority(&mut self, now: Moment) {
-        let may_act = self.seat.may_act(now);
+        let may_act = self.participant.may_act(now);
         if may_act == self.acting {
             return;
         }
         self.acting = may_act;
         let zone = self.me.zone.clone();
-        let term = self.seat.term();
+        let term = self.participant.term();
         let event = if may_act {
             Event::ZoneLed { zone, term }
         } else {
@@ -196,14 +196,14 @@
         if now < self.wants_at {
             return;
         }
-        let Some(office) = &mut self.office else {
+        let Some(allocator) = &mut self.allocator else {
             return;
         };
-        office.return_owed(now);
+        allocator.return_owed(now);
         if let Some(fleet) = &self.fleet {
-            office.set_task_demands(&fleet.unit_demands());
+            allocator.set_task_demands(&fleet.unit_demands());
         }
-        let demands = office.unit_demands();
+        let demands = allocator.unit_demands();
         let is_pressing = |d: &UnitDemand| d.demand > d.capacity;
         let every = if demands.iter().any(is_pressing) {
             WANTS_PRESSING_EVERY
@@ -227,7 +227,7 @@
         }
         let wants = ZoneWants {
             zone: self.me.zone.clone(),
-            term: office.term(),
+            term: allocator.term(),
             wants: demands.iter().map(want_of).collect(),
         };
         let origin = Origin::Local(super::claims::WANTS_CALL);
@@ -235,28 +235,28 @@
     }
 
     pub(super) fn take_recalls(&mut self, now: Moment, recalls: &[(String, u64)]) {
-        if !self.seat.may_act(now) {
+        if !self.participant.may_act(now) {
             return;
         }
-        let Some(office) = &mut self.office else {
+        let Some(allocator) = &mut self.allocator else {
             return;
         };
         for (team, units) in recalls {
-            office.recall(now, team, *units);
+            allocator.recall(now, team, *units);
         }
         self.wants_at = now;
     }
 
     pub(super) fn announce(&mut self, now: Moment, beat: &Heartbeat) -> Answer {
-        if !self.seat.may_act(now) {
+        if !self.participant.may_act(now) {
             let message = "this instance does not lead its zone now";
             return Answer::Failed(Error::new(Kind::NoQuorum, message));
         }
-        let Some(office) = &mut self.office else {
+        let Some(allocator) = &mut self.allocator else {
             return Answer::Failed(Error::from(Kind::NoQuorum));
         };
-        let term = office.term();
-        match office.announce(now, beat) {
+        let term = allocator.term();
+        match allocator.announce(now, beat) {
             Ok(events) => {
                 self.effects.extend(events.into_iter().map(Effect::Event));
                 Answer::Heard(Seen { term, at: now })
@@ -266,7 +266,7 @@
     }
 
     pub(super) fn confirm_applied(&self, now: Moment, at: u64) -> Answer {
-        if self.seat.may_act(now) && self.registry.applied >= at {
+        if self.participant.may_act(now) && self.registry.applied >= at {
             Answer::Done
         } else {
             Answer::Failed(Error::from(Kind::NoQuorum))
@@ -274,13 +274,13 @@
     }
 
     pub(super) fn take_report(&mut self, now: Moment, from: InstanceId, report: &Report) {
-        if report.zone != self.me.zone || !self.seat.may_act(now) {
+        if report.zone != self.me.zone || !self.participant.may_act(now) {
             return;
         }
-        let Some(office) = &mut self.office else {
+        let Some(allocator) = &mut self.allocator else {
             return;
         };
-        let allotment = office.report(now, from, report);
+        let allotment = allocator.report(now, from, report);
         self.send_allotment(now, from, allotment);
     }
 
--- a/src/core/fleet/place.rs
+++ b/src/core/fleet/place.rs
@@ -116,7 +116,7 @@
         let size = job.size;
         let team = job.team.clone();
         self.team_mut(&team).stock -= 1;
-        self.seat(now, key, task, attempt, size);
+        self.reserve(now, key, task, attempt, size);
         self.order_start(key, task);
     }
 
@@ -147,7 +147,7 @@
     }
 
     /// Records a task on a worker and reserves its size.
-    pub(super) fn seat(
+    pub(super) fn reserve(
         &mut self,
         now: Moment,
         key: WorkerKey,
--- a/src/core/fleet/poll.rs
+++ b/src/core/fleet/poll.rs
@@ -379,7 +379,7 @@
             return false;
         }
         let team = job.team.clone();
-        self.seat(now, key, run.task, run.attempt, run.size);
+        self.reserve(now, key, run.task, run.attempt, run.size);
         self.adopted_units.push(team);
         true
     }
--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -50,7 +50,7 @@
 
 /// One instance's part in the leadership of its zone.
 #[derive(Debug)]
-pub struct Seat {
+pub struct Participant {
     me: Member,
     led: Option<Leadership>,
     started: Moment,
@@ -66,8 +66,8 @@
     resigned: bool,
 }
 
-impl Seat {
-    /// Makes the seat of an instance that starts at `now` with no memory of
+impl Participant {
+    /// Makes the participant for an instance that starts at `now` with no memory of
     /// earlier promises.
     pub const fn new(me: Member, now: Moment) -> Self {
         Self {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! randomness are arguments, and effects are returned as typed values.
 
 pub mod agent;
+pub mod allocator;
 pub mod claim;
 pub mod consensus;
 pub mod control;
@@ -13,7 +14,7 @@
 pub mod gate;
 pub mod job;
 pub mod lease;
-pub mod office;
+
 pub mod registry;
 pub mod retry;
 pub mod share;
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use plantaincross::config::{Config, Source, merge};
+use plantaincross::core::allocator::{Heartbeat, Seen};
 use plantaincross::core::consensus::Stored;
 use plantaincross::core::control::{Answer, Control, Effect, Identity, Input, Peer, Query, Target};
 use plantaincross::core::gate::{Admission, Announcement, Assignment, Exchange, Gate, Request};
-use plantaincross::core::office::{Heartbeat, Seen};
 use plantaincross::core::registry::{Command, InstanceId, Key, Outcome};
 use plantaincross::core::time::Moment;
 use plantaincross::wire::Body;
@@ -548,7 +548,7 @@
                 .filter(|h| {
                     h.control
                         .as_ref()
-                        .is_some_and(|c| c.seat().may_act(h.clock(self.time)))
+                        .is_some_and(|c| c.participant().may_act(h.clock(self.time)))
                 })
                 .map(|h| h.name.as_str())
                 .collect();
@@ -560,7 +560,10 @@
             );
         }
         for host in &mut self.hosts {
-            host.was_leading |= host.control.as_ref().is_some_and(|c| c.seat().is_named());
+            host.was_leading |= host
+                .control
+                .as_ref()
+                .is_some_and(|c| c.participant().is_named());
         }
     }
 
@@ -690,9 +693,9 @@
             for u in gate.upstreams().filter(|u| u.announcement.name == upstream) {
                 lines.push(format!("{} ({}): {:?}", host.name, host.id, u.holding));
             }
-            for h in control.office().into_iter().flat_map(|o| o.hosts()) {
+            for h in control.allocator().into_iter().flat_map(|o| o.hosts()) {
                 if h.announcement().name == upstream {
-                    lines.push(format!("office {}: {:?}", host.name, h));
+                    lines.push(format!("allocator {}: {:?}", host.name, h));
                 }
             }
         }
@@ -712,9 +715,9 @@
                     "{} {}: zone term {} named {} acts {} root {:?} applied {} teams {:?} slots {:?}",
                     h.name,
                     h.zone,
-                    control.seat().term(),
-                    control.seat().is_named(),
-                    control.seat().may_act(h.clock(self.time)),
+                    control.participant().term(),
+                    control.participant().is_named(),
+                    control.participant().may_act(h.clock(self.time)),
                     control.replica().leader(),
                     control.registry().applied,
                     gate.team_stats()
