Keep nothing for a disk that refuses; test the retry budget

Retry budget and backoff had no test. Change: only work is queued; two tests of the budget and the backoff. Conclusion: a full disk costs no memory; it is still not tried with a real one.

--- a/src/driver.rs
+++ b/src/driver.rs
@@ -157,11 +157,10 @@
         loop {
             let now = self.now();
             let ready = self.control.take_ready(now);
-            if is_idle(&ready) && self.backlog.is_empty() {
-                break;
+            if !is_idle(&ready) {
+                self.backlog.push(ready);
             }
-            self.backlog.push(ready);
-            if !self.store_backlog() {
+            if self.backlog.is_empty() || !self.store_backlog() {
                 break;
             }
         }
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -9,6 +9,7 @@
     Ticket, cell_of,
 };
 use plantaincross::core::registry::InstanceId;
+use plantaincross::core::retry::{Budget, backoff};
 use plantaincross::core::time::Moment;
 use plantaincross::error::Kind;
 use plantaincross::util::cell_named;
@@ -242,6 +243,34 @@
         assert!(matches!(bench.submit(START + MS, 0, 1, MS * 900), Admission::Wait { .. }));
     }
 
+    fn retries_stay_a_tenth_of_successes_when_most_exchanges_fail() {
+        let mut budget = Budget::default();
+        let mut rng = ChaCha8Rng::seed_from_u64(9);
+        let (mut retries, mut successes) = (0u32, 0u32);
+        for _ in 0..10_000 {
+            // Nine of ten first tries fail, and so do their retries.
+            if rng.random_ratio(1, 10) {
+                budget.earn();
+                successes += 1;
+            } else if budget.spend() {
+                retries += 1;
+            }
+        }
+        let saved = 10;
+        assert!(retries <= saved + successes / 10, "{retries} retries, {successes} successes");
+        assert!(retries > 0);
+    }
+
+    fn backoff_grows_to_its_cap_with_jitter() {
+        let mut rng = ChaCha8Rng::seed_from_u64(9);
+        for attempt in 0..40 {
+            let top = (MS * 5).saturating_mul(1 << attempt.min(10)).min(MS * 250);
+            let pauses: Vec<Duration> = (0..50).map(|_| backoff(attempt, &mut rng)).collect();
+            assert!(pauses.iter().all(|pause| *pause <= top), "{attempt}");
+            assert!(pauses.iter().any(|pause| *pause > top / 2), "{attempt}");
+        }
+    }
+
     fn full_queue_keeps_the_more_worthy() {
         let mut bench = Bench::new(&[1], 1, 1);
         bench.gate.put_service("s", 2);
