Let the event clock travel in pings

Cause: the time line promises a hybrid logical clock, but no message carried it, so events of instances with unlike wall clocks could sort before their causes.

--- a/src/core/control/peers.rs
+++ b/src/core/control/peers.rs
@@ -110,6 +110,9 @@
                     leaving: self.leaving,
                     fresh_age,
                     fresh_index: self.registry.applied,
+                    // Set by the driver, which keeps the event clock.
+                    stamp_millis: 0,
+                    stamp_count: 0,
                 };
                 (known.peer.id, ping)
             })
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -12,7 +12,7 @@
 use crate::core::control::{Answer, Control, Effect, Input};
 use crate::core::registry::InstanceId;
 use crate::core::time::Moment;
-use crate::event::Event;
+use crate::event::{Event, Stamp};
 use crate::net::{Link, Mesh, Notice};
 use crate::node::Order;
 use crate::store::Wal;
@@ -122,6 +122,11 @@
             Notice::Message(from, body) => {
                 if let Body::Ping(ping) = &body {
                     self.mesh.learn(&ping.peers);
+                    let stamp = Stamp {
+                        millis: ping.stamp_millis,
+                        count: ping.stamp_count,
+                    };
+                    self.traffic.hear_stamp(stamp);
                 }
                 self.step(Input::Message(from, body));
             }
@@ -204,7 +209,12 @@
     fn carry_out(&mut self, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Send(to, body) => {
+                Effect::Send(to, mut body) => {
+                    if let Body::Ping(ping) = &mut body {
+                        let stamp = self.traffic.stamp();
+                        ping.stamp_millis = stamp.millis;
+                        ping.stamp_count = stamp.count;
+                    }
                     if let Some(link) = self.links.get(&to).and_then(|links| links.last()) {
                         link.send(body);
                     }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -18,7 +18,7 @@
 use crate::core::retry::Budget;
 use crate::core::time::Moment;
 use crate::error::{Error, Kind, Result};
-use crate::event::{Event, Ring};
+use crate::event::{Event, Ring, Stamp};
 use crate::metrics::Metrics;
 use crate::util::sha256;
 
@@ -129,6 +129,17 @@
         ring.push(wall_millis(), event);
     }
 
+    /// Takes the event clock of a peer, so that later events here sort after it.
+    pub fn hear_stamp(&self, stamp: Stamp) {
+        let mut ring = self.ring.lock().expect("ring lock");
+        ring.hear(stamp, wall_millis());
+    }
+
+    /// Returns the event clock.
+    pub fn stamp(&self) -> Stamp {
+        self.ring.lock().expect("ring lock").stamp()
+    }
+
     /// Sets until when keys count as verified: by the root group, and by the
     /// leader of the own zone for keys whose home it is.
     pub fn set_fresh(&self, root: Moment, zone: Moment) {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -88,6 +88,12 @@
     /// Position in the log that this knowledge reaches to.
     #[prost(uint64, tag = "7")]
     pub fresh_index: u64,
+    /// Milliseconds of the sender's event clock.
+    #[prost(uint64, tag = "8")]
+    pub stamp_millis: u64,
+    /// Order within that millisecond.
+    #[prost(uint32, tag = "9")]
+    pub stamp_count: u32,
 }
 
 /// Question with a number that its answer repeats.
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -1028,6 +1028,8 @@
         leaving: false,
         fresh_age: Some(300_000),
         fresh_index: 1_000_000,
+        stamp_millis: u64::MAX >> 22,
+        stamp_count: 100,
     };
     let frame = plantaincross::wire::Frame {
         body: Some(Body::Ping(ping)),
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -57,3 +57,18 @@
         plantaincross::config::merge(&sources).expect("merges");
     }
 }
+
+#[test]
+fn events_after_a_message_sort_after_its_sender() {
+    use plantaincross::event::Ring;
+
+    // The second instance's wall clock is ten seconds behind.
+    let (mut ahead, mut behind) = (Ring::new("a".to_owned()), Ring::new("b".to_owned()));
+    ahead.push(20_000, Event::Draining {});
+    behind.push(9_000, Event::Draining {});
+    behind.hear(ahead.stamp(), 10_000);
+    behind.push(10_001, Event::Stopped {});
+    let sent = ahead.after(0, 10)[0].at;
+    let records = behind.after(0, 10);
+    assert!(records[0].at < sent && records[1].at > sent);
+}
