--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -381,9 +382,24 @@
     }
 }
 
+/// First port for daemons, below those that the kernel takes for connections.
+const PORT_MIN: u32 = 12_000;
+/// Number of such ports.
+const PORT_COUNT: u32 = 18_000;
+
+/// Returns a port that no other test of this process gets and that no outgoing
+/// connection takes before its daemon is bound to it.
 fn free_port() -> SocketAddr {
-    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("port");
-    listener.local_addr().expect("address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(97);
+    loop {
+        let turn = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = PORT_MIN + first.wrapping_add(turn) % PORT_COUNT;
+        let address: SocketAddr = ([127, 0, 0, 1], port as u16).into();
+        if std::net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Returns the kind of a refusal and whether it ran.
