--- /dev/null
+++ b/src/cell/control.rs
@@ -0,0 +1,848 @@
+//! The loop of a control instance: agreement, the leader's decisions and the disk.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use super::calls::{self, Calls};
+use super::journal::{Journal, Line};
+use super::metrics::Metrics;
+use super::storage::{self, Done, Job};
+use super::{
+    Asked, Handle, INBOX_MAX, LEADING_EVERY, Links, PING_EVERY, Port, Remote, RemoteAnswer,
+    Settings,
+};
+use crate::clock::{self, Clock};
+use crate::core::consensus::{Ready, Replica};
+use crate::core::control::{Identity, Peer};
+use crate::core::plane::codec;
+use crate::core::plane::lead::{
+    Answer, Call, Effect, Lead, Note, Now, Order, Permission, Query, Question, Reply,
+};
+use crate::core::plane::state::{Command, State};
+use crate::core::registry::InstanceId;
+use crate::core::roster::{self, Place, Wanted};
+use crate::core::time::Moment;
+use crate::error::Result;
+use crate::net::{Link, Mesh, Notice};
+use crate::store::{Folder, Wal};
+use crate::wire::{Body, Entry, Leading, Ping, Raft, Voter};
+
+/// Longest pause of the loop while it leads: the shortest interval of its timers.
+const LEAD_TICK: Duration = Duration::from_millis(20);
+/// Longest pause of the loop otherwise.
+const IDLE_TICK: Duration = Duration::from_millis(50);
+/// Inputs taken before the log is stored once for all of them.
+const BATCH_MAX: usize = 512;
+/// A gap between turns of the loop above this counts as a suspension.
+const PAUSE_MIN: Duration = Duration::from_millis(1_000);
+/// Interval at which the voters are reviewed.
+const ROSTER_EVERY: Duration = Duration::from_millis(200);
+/// Bytes of log after which a snapshot is made: a tenth of the smallest disk.
+const COMPACT_BYTES: usize = 12 << 20;
+/// Entries of log after which a snapshot is made.
+const COMPACT_ENTRIES: usize = 40_000;
+
+/// Results that come back from tasks of the process.
+#[derive(Debug)]
+enum Back {
+    Reply(u64, u64, Reply),
+    Permission(u64, u64, Permission),
+}
+
+#[derive(Debug)]
+enum Origin {
+    Peer(InstanceId, u64),
+    Local(oneshot::Sender<Answer>),
+}
+
+struct Inboxes {
+    notices: mpsc::Receiver<Notice>,
+    asked: mpsc::Receiver<Asked>,
+    back: mpsc::Receiver<Back>,
+    stored: mpsc::Receiver<Done>,
+}
+
+struct Control<P> {
+    settings: Settings,
+    me: Identity,
+    clock: Clock,
+    port: Arc<P>,
+    journal: Journal,
+    metrics: Metrics,
+    mesh: Arc<Mesh>,
+    replica: Replica,
+    state: State,
+    lead: Option<(u64, Lead)>,
+    peers: BTreeMap<InstanceId, Peer>,
+    links: Links,
+    calls: Calls,
+    origins: HashMap<Call, Origin>,
+    next_call: u64,
+    /// Answers by the log entry that they wait for.
+    waiting: BTreeMap<u64, Vec<(Call, Answer)>>,
+    proposed_at: BTreeMap<u64, Moment>,
+    jobs: std::sync::mpsc::Sender<Job>,
+    storing: bool,
+    compacting: bool,
+    back: mpsc::Sender<Back>,
+    ping_at: Moment,
+    leading_at: Moment,
+    roster_at: Moment,
+    seen_leader: Option<u64>,
+    token: CancellationToken,
+}
+
+/// Starts a control instance. It runs until the token is cancelled.
+///
+/// # Errors
+///
+/// Fails if the peer address is taken or the data folder cannot be used.
+pub async fn start<P: Port>(
+    settings: Settings,
+    port: Arc<P>,
+    journal: Journal,
+    metrics: Metrics,
+    token: CancellationToken,
+) -> Result<Handle> {
+    let listener = TcpListener::bind(settings.peer).await?;
+    let clock = Clock::default();
+    let path = settings.data.clone().unwrap_or_default();
+    let (wal, stored) = Wal::open(Folder::open(&path)?)?;
+    let id = InstanceId(rand::random::<u64>().max(1));
+    let me = Identity {
+        id,
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        address: settings.peer.to_string(),
+        replica: wal.replica(),
+        durable: true,
+        founders: settings.seeds.clone(),
+        replace_after: settings.replace_after,
+    };
+    let mut state = State::default();
+    if !stored.snapshot.data.is_empty() {
+        state = read_state(&stored.snapshot.data)?;
+        state.applied = stored.snapshot.index;
+    }
+    let now = clock.now();
+    let replica = Replica::new(me.replica, &me.name, true, stored, now, rand::random());
+    let (notices, notices_in) = mpsc::channel(INBOX_MAX);
+    let (asked, asked_in) = mpsc::channel(INBOX_MAX);
+    let (back, back_in) = mpsc::channel(INBOX_MAX);
+    let (done, stored_in) = mpsc::channel(8);
+    let (jobs, jobs_in) = std::sync::mpsc::channel();
+    let mesh = Mesh::new(
+        me.clone(),
+        settings.secret.clone(),
+        &settings.seeds,
+        notices,
+        token.child_token(),
+    );
+    let disk_journal = journal.clone();
+    std::thread::Builder::new()
+        .name("disk".to_owned())
+        .spawn(move || storage::run(wal, &jobs_in, &done, &disk_journal))?;
+    tokio::spawn(Arc::clone(&mesh).run(listener));
+    let handle = Handle {
+        asked,
+        mesh: Arc::clone(&mesh),
+    };
+    let control = Control {
+        settings,
+        me,
+        clock,
+        port,
+        journal,
+        metrics,
+        mesh,
+        replica,
+        state,
+        lead: None,
+        peers: BTreeMap::new(),
+        links: Links::new(),
+        calls: Calls::default(),
+        origins: HashMap::new(),
+        next_call: 0,
+        waiting: BTreeMap::new(),
+        proposed_at: BTreeMap::new(),
+        jobs,
+        storing: false,
+        compacting: false,
+        back,
+        ping_at: Moment::ZERO,
+        leading_at: Moment::ZERO,
+        roster_at: Moment::ZERO,
+        seen_leader: None,
+        token,
+    };
+    let inboxes = Inboxes {
+        notices: notices_in,
+        asked: asked_in,
+        back: back_in,
+        stored: stored_in,
+    };
+    tokio::spawn(control.run(inboxes));
+    Ok(handle)
+}
+
+fn read_state(data: &[u8]) -> Result<State> {
+    codec::decode(data).map_err(|err| {
+        let message = format!("the snapshot cannot be read: {err}");
+        crate::error::Error::new(crate::error::Kind::Internal, message)
+    })
+}
+
+impl<P: Port> Control<P> {
+    async fn run(mut self, mut inboxes: Inboxes) {
+        let mut last = self.clock.now();
+        loop {
+            let wait = self.pause();
+            tokio::select! {
+                biased;
+                () = self.token.cancelled() => return,
+                Some(done) = inboxes.stored.recv() => self.take_stored(done),
+                Some(notice) = inboxes.notices.recv() => self.take_notice(notice),
+                Some(back) = inboxes.back.recv() => self.take_back(back),
+                Some(asked) = inboxes.asked.recv() => self.take_asked(asked),
+                () = sleep(wait) => {}
+            }
+            let now = self.clock.now();
+            let gap = now.since(last);
+            if gap > PAUSE_MIN {
+                let ms = gap.as_millis() as u64;
+                self.journal.write(&Line::Paused { ms });
+            }
+            last = now;
+            self.drain(&mut inboxes);
+            self.tick();
+            self.pump();
+        }
+    }
+
+    fn drain(&mut self, inboxes: &mut Inboxes) {
+        for _ in 0..BATCH_MAX {
+            if let Ok(notice) = inboxes.notices.try_recv() {
+                self.take_notice(notice);
+            } else if let Ok(back) = inboxes.back.try_recv() {
+                self.take_back(back);
+            } else if let Ok(asked) = inboxes.asked.try_recv() {
+                self.take_asked(asked);
+            } else {
+                return;
+            }
+        }
+    }
+
+    fn pause(&self) -> Duration {
+        let Some((_, lead)) = &self.lead else {
+            return IDLE_TICK;
+        };
+        let now = self.clock.now();
+        let wake = lead.wake_at();
+        Duration::from_micros(wake.0.saturating_sub(now.0)).min(LEAD_TICK)
+    }
+
+    fn now(&self) -> Now {
+        Now {
+            at: self.clock.now(),
+            wall_ms: clock::wall_millis(),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        self.replica.tick(now);
+        self.found(now);
+        self.ping(now);
+        self.tell_leading(now);
+        self.review_roster(now);
+        self.follow_leadership(now);
+        let now = self.now();
+        if let Some((_, lead)) = &mut self.lead {
+            let effects = lead.tick(now, &self.state);
+            self.carry_out(effects);
+        }
+    }
+
+    // Of the seeds of a new cell, the one with the lowest address founds it, once it
+    // sees that the others are new too.
+    fn found(&mut self, now: Moment) {
+        if !self.settings.founding || !self.replica.is_blank() {
+            return;
+        }
+        let mut founders = self.settings.seeds.clone();
+        founders.sort_unstable();
+        if founders.first() != Some(&self.me.address) {
+            return;
+        }
+        let mut voters = vec![Voter {
+            replica: self.me.replica,
+            name: self.me.name.clone(),
+        }];
+        for address in &founders[1..] {
+            let found = self.peers.values().find(|p| p.address == *address);
+            let Some(peer) = found.filter(|p| p.durable && !p.founded) else {
+                return;
+            };
+            voters.push(Voter {
+                replica: peer.replica,
+                name: peer.name.clone(),
+            });
+        }
+        self.replica.found(now, voters);
+    }
+
+    fn ping(&mut self, now: Moment) {
+        if now < self.ping_at {
+            return;
+        }
+        self.ping_at = now + PING_EVERY;
+        let peers: Vec<String> = self
+            .peers
+            .values()
+            .filter(|p| p.durable)
+            .map(|p| p.address.clone())
+            .collect();
+        let ping = Ping {
+            sent_at: now.0,
+            peers,
+            ..Ping::default()
+        };
+        for link in self.links.values().filter_map(|links| links.last()) {
+            link.send(Body::Ping(ping.clone()));
+        }
+        self.calls.sweep(&self.links);
+        let dropped = self.journal.dropped();
+        self.metrics.lines_dropped.set(dropped as i64);
+    }
+
+    fn tell_leading(&mut self, now: Moment) {
+        if now < self.leading_at || !self.leads(now) {
+            return;
+        }
+        self.leading_at = now + LEADING_EVERY;
+        let term = self.replica.term();
+        for link in self.links.values().filter_map(|links| links.last()) {
+            link.send(Body::Leading(Leading { term }));
+        }
+        let metrics = &self.metrics;
+        metrics.configuration.set(self.state.plan.version as i64);
+        metrics.open_jobs.set(self.state.open.len() as i64);
+        let workers = self.state.live_workers().count();
+        metrics.workers.set(workers as i64);
+    }
+
+    fn review_roster(&mut self, now: Moment) {
+        if now < self.roster_at || !self.leads(now) {
+            return;
+        }
+        self.roster_at = now + ROSTER_EVERY;
+        let place = |peer: &Peer| Place {
+            name: peer.name.clone(),
+            zone: peer.zone.clone(),
+        };
+        let mut places: BTreeMap<u64, Place> = self
+            .peers
+            .values()
+            .filter(|p| p.durable)
+            .map(|p| (p.replica, place(p)))
+            .collect();
+        let own = Place {
+            name: self.me.name.clone(),
+            zone: self.me.zone.clone(),
+        };
+        places.insert(self.me.replica, own);
+        let wanted = Wanted {
+            voters: self.settings.voters,
+            replace_after: self.settings.replace_after,
+        };
+        if let Some(next) = roster::next_voters(now, &self.replica, &places, wanted) {
+            // Refused while another change is under way; the next review tries again.
+            let _ = self.replica.propose_voters(next);
+        }
+    }
+
+    // Whether this instance leads and its lease holds.
+    fn leads(&self, now: Moment) -> bool {
+        self.lead.is_some() && self.replica.is_leased(now)
+    }
+
+    fn follow_leadership(&mut self, now: Moment) {
+        let term = self.replica.term();
+        let lost = match &self.lead {
+            Some((led, _)) => *led != term || !self.replica.is_leader(),
+            None => false,
+        };
+        if lost {
+            self.lose_lead();
+        }
+        if self.lead.is_none() && self.replica.is_leased(now) && !self.is_behind() {
+            self.begin_lead(term);
+        }
+        let leader = self.replica.leader();
+        if leader != self.seen_leader {
+            self.seen_leader = leader;
+            let name = leader.and_then(|id| self.instance_of(id));
+            if let Some(peer) = name.and_then(|id| self.peers.get(&id)) {
+                let leader = peer.name.clone();
+                self.journal.write(&Line::LeaderSeen { leader, term });
+            }
+        }
+    }
+
+    fn is_behind(&self) -> bool {
+        self.state.applied < self.replica.commit()
+    }
+
+    fn begin_lead(&mut self, term: u64) {
+        let applied = self.state.applied;
+        self.journal.write(&Line::Led { term, applied });
+        self.metrics.leads.set(1);
+        let bounds = self.settings.bounds;
+        let mut lead = Lead::new(self.now(), term, bounds, &self.state);
+        lead.set_askers(&self.askers());
+        self.lead = Some((term, lead));
+        self.leading_at = Moment::ZERO;
+    }
+
+    fn lose_lead(&mut self) {
+        let Some((term, _)) = self.lead.take() else {
+            return;
+        };
+        self.journal.write(&Line::LeadLost { term });
+        self.metrics.leads.set(0);
+        self.proposed_at.clear();
+        for (call, _) in std::mem::take(&mut self.waiting).into_values().flatten() {
+            self.answer(call, Answer::Unknown);
+        }
+    }
+
+    fn askers(&self) -> Vec<InstanceId> {
+        self.links.keys().copied().chain([self.me.id]).collect()
+    }
+
+    fn instance_of(&self, replica: u64) -> Option<InstanceId> {
+        let mut peers = self.peers.values();
+        peers.find(|p| p.replica == replica).map(|p| p.id)
+    }
+
+    fn take_notice(&mut self, notice: Notice) {
+        match notice {
+            Notice::Up(peer, link) => self.take_peer(peer, link),
+            Notice::Down(id, number) => {
+                let Some(links) = self.links.get_mut(&id) else {
+                    return;
+                };
+                links.retain(|link| link.number != number);
+                if links.is_empty() {
+                    self.links.remove(&id);
+                    if let Some(peer) = self.peers.remove(&id) {
+                        let peer = peer.name;
+                        self.journal.write(&Line::PeerDown { peer });
+                    }
+                    self.calls.sweep(&self.links);
+                    self.renew_askers();
+                }
+            }
+            Notice::Message(from, body) => self.take_message(from, body),
+            Notice::Refused(error) => self.journal.write(&Line::PeerRefused { error }),
+        }
+    }
+
+    fn take_peer(&mut self, peer: Peer, link: Link) {
+        let now = self.clock.now();
+        if self.leads(now) {
+            let term = self.replica.term();
+            link.send(Body::Leading(Leading { term }));
+        }
+        self.journal.write(&Line::PeerUp {
+            peer: peer.name.clone(),
+            zone: peer.zone.clone(),
+        });
+        self.links.entry(peer.id).or_default().push(link);
+        self.peers.insert(peer.id, peer);
+        self.renew_askers();
+    }
+
+    fn renew_askers(&mut self) {
+        let askers = self.askers();
+        if let Some((_, lead)) = &mut self.lead {
+            lead.set_askers(&askers);
+        }
+    }
+
+    fn take_message(&mut self, from: InstanceId, body: Body) {
+        match body {
+            Body::Raft(raft) => {
+                let now = self.clock.now();
+                self.replica.step(now, raft);
+            }
+            Body::Ping(ping) => self.mesh.learn(&ping.peers),
+            Body::Call(call) => match codec::decode::<Remote>(&call.body) {
+                Ok(remote) => self.take_remote(from, call.id, remote),
+                Err(err) => self.unreadable("a peer's question", &err),
+            },
+            Body::Return(back) => {
+                if let Err(err) = self.calls.take(from, &back) {
+                    self.unreadable("a peer's answer", &err);
+                }
+            }
+            // Word of the leader also comes with its entries, and zones have no
+            // leaders of their own here.
+            _ => {}
+        }
+    }
+
+    fn unreadable(&self, what: &'static str, err: &postcard::Error) {
+        let error = err.to_string();
+        self.journal.write(&Line::Unreadable { what, error });
+    }
+
+    fn take_remote(&mut self, from: InstanceId, id: u64, remote: Remote) {
+        match remote {
+            Remote::Query(query) => {
+                self.next_call += 1;
+                let call = Call(self.next_call);
+                self.origins.insert(call, Origin::Peer(from, id));
+                self.ask_lead(call, query);
+            }
+            Remote::Permission(question) => {
+                let Some(link) = self.link(from).cloned() else {
+                    return;
+                };
+                let port = Arc::clone(&self.port);
+                tokio::spawn(async move {
+                    let answer = RemoteAnswer::Permission(port.ask(question).await);
+                    calls::answer(&link, id, &answer);
+                });
+            }
+        }
+    }
+
+    fn link(&self, to: InstanceId) -> Option<&Link> {
+        self.links.get(&to)?.last()
+    }
+
+    fn take_asked(&mut self, asked: Asked) {
+        let now = self.clock.now();
+        if self.replica.is_leader() {
+            self.next_call += 1;
+            let call = Call(self.next_call);
+            self.origins.insert(call, Origin::Local(asked.reply));
+            if self.leads(now) {
+                self.ask_lead(call, asked.query);
+            } else {
+                self.answer(call, Answer::NotLeader);
+            }
+            return;
+        }
+        let leader = self.replica.leader().and_then(|id| self.instance_of(id));
+        let Some((leader, link)) = leader.and_then(|id| Some((id, self.link(id)?.clone()))) else {
+            // The asker may have gone.
+            let _ = asked.reply.send(Answer::NotLeader);
+            return;
+        };
+        let answer = self.calls.send(leader, &link, &Remote::Query(asked.query));
+        tokio::spawn(async move {
+            let answer = match answer.await {
+                Ok(RemoteAnswer::Query(answer)) => answer,
+                _ => Answer::Unknown,
+            };
+            let _ = asked.reply.send(answer);
+        });
+    }
+
+    fn ask_lead(&mut self, call: Call, query: Query) {
+        let now = self.now();
+        if !self.leads(now.at) {
+            self.answer(call, Answer::NotLeader);
+            return;
+        }
+        if let Some((_, lead)) = &mut self.lead {
+            let effects = lead.ask(now, &self.state, call, query);
+            self.carry_out(effects);
+        }
+    }
+
+    fn answer(&mut self, call: Call, answer: Answer) {
+        match self.origins.remove(&call) {
+            Some(Origin::Peer(peer, id)) => {
+                if let Some(link) = self.link(peer) {
+                    calls::answer(link, id, &RemoteAnswer::Query(answer));
+                }
+            }
+            // The asker may have given up waiting.
+            Some(Origin::Local(reply)) => drop(reply.send(answer)),
+            None => {}
+        }
+    }
+
+    fn take_back(&mut self, back: Back) {
+        let now = self.now();
+        let Some((term, lead)) = &mut self.lead else {
+            return;
+        };
+        let effects = match back {
+            Back::Reply(of, number, reply) if of == *term => {
+                lead.reply(now, &self.state, number, reply)
+            }
+            Back::Permission(of, number, permission) if of == *term => {
+                lead.permission(now, &self.state, number, permission)
+            }
+            // Of an earlier term of this process.
+            Back::Reply(..) | Back::Permission(..) => return,
+        };
+        self.carry_out(effects);
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Propose(command, answers) => self.propose(&command, answers),
+                Effect::Answer(call, answer) => self.answer(call, answer),
+                Effect::Order(order) => self.send_order(order),
+                Effect::Ask(asker, question) => self.send_question(asker, question),
+                Effect::Note(note) => self.take_note(&note),
+            }
+        }
+    }
+
+    fn take_note(&self, note: &Note) {
+        match note {
+            Note::Ended { how, .. } => Metrics::count(&self.metrics.ends, how.to_string()),
+            Note::Placed { waited_ms, .. } => {
+                let waited = Duration::from_millis(*waited_ms);
+                Metrics::observe(&self.metrics.wait_seconds, waited);
+            }
+            Note::Permission { granted, .. } => {
+                let outcome = if granted.is_some() {
+                    "answered"
+                } else {
+                    "failed"
+                };
+                Metrics::count(&self.metrics.questions, outcome);
+            }
+            _ => {}
+        }
+        self.journal.note(note);
+    }
+
+    fn propose(&mut self, command: &Command, answers: Vec<(Call, Answer)>) {
+        match self.replica.propose(codec::encode(command)) {
+            Ok(index) => {
+                self.proposed_at.insert(index, self.clock.now());
+                self.waiting.insert(index, answers);
+            }
+            Err(_) => {
+                for (call, _) in answers {
+                    self.answer(call, Answer::NotLeader);
+                }
+            }
+        }
+    }
+
+    fn send_order(&mut self, order: Order) {
+        let Some((term, _)) = &self.lead else {
+            return;
+        };
+        let (term, number, back) = (*term, order.number, self.back.clone());
+        let leased = self.replica.is_leased(self.clock.now());
+        let port = Arc::clone(&self.port);
+        tokio::spawn(async move {
+            let reply = if leased {
+                port.order(order).await
+            } else {
+                Reply::NotSent
+            };
+            // The loop ends before its tasks when the process stops.
+            let _ = back.send(Back::Reply(term, number, reply)).await;
+        });
+    }
+
+    fn send_question(&mut self, asker: InstanceId, question: Question) {
+        let Some((term, _)) = &self.lead else {
+            return;
+        };
+        let (term, number, back) = (*term, question.number, self.back.clone());
+        if asker == self.me.id {
+            let port = Arc::clone(&self.port);
+            tokio::spawn(async move {
+                let permission = port.ask(question).await;
+                let _ = back.send(Back::Permission(term, number, permission)).await;
+            });
+            return;
+        }
+        let link = self.link(asker).cloned();
+        let remote = Remote::Permission(question);
+        let answer = link.map(|link| self.calls.send(asker, &link, &remote));
+        tokio::spawn(async move {
+            let permission = match answer {
+                Some(answer) => match answer.await {
+                    Ok(RemoteAnswer::Permission(permission)) => permission,
+                    _ => Permission::NoAnswer,
+                },
+                None => Permission::NoAnswer,
+            };
+            let _ = back.send(Back::Permission(term, number, permission)).await;
+        });
+    }
+
+    // Sends, stores and applies what the replica has to do.
+    fn pump(&mut self) {
+        loop {
+            let now = self.clock.now();
+            self.replica.flush(now);
+            if self.storing {
+                let ready = self.replica.take_unstored();
+                if ready.is_idle() {
+                    break;
+                }
+                self.send_all(ready.messages);
+                self.apply_all(ready.committed);
+                continue;
+            }
+            let mut ready = self.replica.take_ready();
+            if ready.is_idle() {
+                break;
+            }
+            // Followers may have a leader's entries before its own disk does.
+            if self.replica.is_leader() && ready.hard.is_none() || !ready.needs_disk() {
+                let messages = std::mem::take(&mut ready.messages);
+                self.send_all(messages);
+            }
+            if let Some(snapshot) = &ready.snapshot {
+                self.load(snapshot.index, &snapshot.data);
+            }
+            let committed = std::mem::take(&mut ready.committed);
+            if ready.needs_disk() {
+                self.store(ready);
+            }
+            self.apply_all(committed);
+        }
+        self.compact();
+    }
+
+    fn store(&mut self, ready: Ready) {
+        let log = self.replica.log();
+        let last = (log.last_index(), log.last_term());
+        let ready = Box::new(ready);
+        if self.jobs.send(Job::Store { ready, last }).is_err() {
+            self.journal.write(&Line::DiskRefused {
+                error: "the disk's thread has ended".to_owned(),
+            });
+            self.token.cancel();
+        }
+        self.storing = true;
+    }
+
+    fn take_stored(&mut self, done: Done) {
+        match done {
+            Done::Stored { ready, last } => {
+                self.storing = false;
+                let now = self.clock.now();
+                self.replica.persisted_to(now, last.0, last.1);
+                self.send_all(ready.messages);
+                self.pump();
+            }
+            Done::Compacted => self.compacting = false,
+        }
+    }
+
+    fn load(&mut self, index: u64, data: &[u8]) {
+        match codec::decode::<State>(data) {
+            Ok(state) => {
+                self.state = state;
+                self.state.applied = index;
+            }
+            Err(err) => {
+                // Going on would apply entries to the wrong state.
+                self.unreadable("a snapshot", &err);
+                self.token.cancel();
+            }
+        }
+    }
+
+    fn apply_all(&mut self, committed: Vec<Entry>) {
+        for entry in committed {
+            self.apply(&entry);
+        }
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        if !entry.voters.is_empty() {
+            let voters = entry.voters.iter().map(|v| v.name.clone()).collect();
+            self.journal.write(&Line::Voters { voters });
+            self.mesh.set_founded();
+        }
+        if !entry.command.is_empty() {
+            match codec::decode::<Command>(&entry.command) {
+                Ok(command) => self.apply_command(command),
+                Err(err) => self.unreadable("a log entry", &err),
+            }
+        }
+        self.state.applied = entry.index;
+        let now = self.clock.now();
+        if let Some(at) = self.proposed_at.remove(&entry.index) {
+            Metrics::observe(&self.metrics.commit_seconds, now.since(at));
+        }
+        for (call, answer) in self.waiting.remove(&entry.index).unwrap_or_default() {
+            self.answer(call, answer);
+        }
+    }
+
+    fn apply_command(&mut self, command: Command) {
+        let now = self.now();
+        match &mut self.lead {
+            Some((_, lead)) => {
+                self.state.apply(command.clone());
+                let effects = lead.applied(now, &self.state, &command);
+                self.carry_out(effects);
+            }
+            None => self.state.apply(command),
+        }
+    }
+
+    fn send_all(&mut self, messages: Vec<Raft>) {
+        for raft in messages {
+            // Replica 0 stands for all.
+            if raft.to == 0 {
+                let durable = self.peers.values().filter(|p| p.durable);
+                for peer in durable {
+                    if let Some(link) = self.link(peer.id) {
+                        link.send(Body::Raft(raft.clone()));
+                    }
+                }
+            } else if let Some(link) = self.instance_of(raft.to).and_then(|id| self.link(id)) {
+                link.send(Body::Raft(raft));
+            }
+        }
+    }
+
+    fn compact(&mut self) {
+        let log = self.replica.log();
+        let is_long = log.bytes() >= COMPACT_BYTES || log.len() >= COMPACT_ENTRIES;
+        if !is_long || self.compacting || self.storing {
+            return;
+        }
+        let data = codec::encode(&self.state);
+        let bytes = data.len();
+        let index = self.state.applied;
+        let Some(snapshot) = self.replica.compact(index, data) else {
+            return;
+        };
+        let log = self.replica.log();
+        let entries = log.slice(log.first_index(), usize::MAX);
+        self.journal.write(&Line::Compacted { index, bytes });
+        self.compacting = true;
+        let job = Job::Compact(Box::new(snapshot), entries);
+        if self.jobs.send(job).is_err() {
+            self.token.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/src/cell/entry.rs
@@ -0,0 +1,377 @@
+//! An entry instance: passes callers' questions on to the leader and asks the
+//! permission service for it. It keeps no state of its own.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, interval, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+use super::calls::{self, Calls};
+use super::journal::{Journal, Line};
+use super::{INBOX_MAX, Links, PING_EVERY, Port, Remote, RemoteAnswer, Settings};
+use crate::clock::Clock;
+use crate::core::control::{Identity, Peer};
+use crate::core::plane::codec;
+use crate::core::plane::lead::{Answer, Query, Refusal};
+use crate::core::registry::InstanceId;
+use crate::core::time::Moment;
+use crate::error::Result;
+use crate::net::{Link, Mesh, Notice};
+use crate::wire::{Body, Ping};
+
+/// A leader whose word is older is not counted on: four intervals of its word.
+const LEADER_AGE_MAX: Duration = Duration::from_millis(1_200);
+/// Longest wait for a leader to appear before a caller is refused. Refusing within it
+/// would turn callers away for the pause of a planned hand-over.
+const LEADER_WAIT: Duration = Duration::from_millis(200);
+/// A question without an answer for this long is asked again, as its leader may be
+/// suspended. It is some fifty times a commit.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(900);
+/// When a caller may come back that found no leader, in milliseconds: about the time
+/// until another is elected.
+const NO_LEADER_RETRY_MS: u64 = 1_000;
+/// Pause between attempts.
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(30);
+
+/// What is known of the leader.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Leader {
+    /// Its instance, if one is linked.
+    pub instance: Option<InstanceId>,
+    /// Its term.
+    pub term: u64,
+    /// When its word last came.
+    pub heard_at: Moment,
+}
+
+/// How a question went.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outcome {
+    /// Answer.
+    pub answer: Answer,
+    /// Attempts to reach the leader.
+    pub attempts: u32,
+    /// Term of the leader that was asked last.
+    pub term: u64,
+    /// Age of the leader's latest word then.
+    pub leader_age: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    links: Links,
+    peers: BTreeMap<InstanceId, Peer>,
+    calls: Calls,
+}
+
+/// A running entry instance.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    shared: Arc<Mutex<Shared>>,
+    leader: watch::Receiver<Leader>,
+    clock: Clock,
+    mesh: Arc<Mesh>,
+}
+
+/// Starts an entry instance. It runs until the token is cancelled.
+///
+/// # Errors
+///
+/// Fails if the peer address is taken.
+pub async fn start<P: Port>(
+    settings: Settings,
+    port: Arc<P>,
+    journal: Journal,
+    token: CancellationToken,
+) -> Result<Entry> {
+    let listener = TcpListener::bind(settings.peer).await?;
+    let id = InstanceId(rand::random::<u64>().max(1));
+    let me = Identity {
+        id,
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        // Without an address nobody dials an entry instance.
+        address: String::new(),
+        replica: id.0,
+        durable: false,
+        founders: Vec::new(),
+        replace_after: settings.replace_after,
+    };
+    let (notices, inbox) = mpsc::channel(INBOX_MAX);
+    let mesh = Mesh::new(
+        me,
+        settings.secret.clone(),
+        &settings.seeds,
+        notices,
+        token.child_token(),
+    );
+    tokio::spawn(Arc::clone(&mesh).run(listener));
+    let (leader, seen) = watch::channel(Leader::default());
+    let entry = Entry {
+        shared: Arc::default(),
+        leader: seen,
+        clock: Clock::default(),
+        mesh: Arc::clone(&mesh),
+    };
+    let follower = Follower {
+        shared: Arc::clone(&entry.shared),
+        leader,
+        clock: entry.clock,
+        port,
+        journal,
+        mesh,
+        token,
+        was_led: false,
+    };
+    tokio::spawn(follower.run(inbox));
+    Ok(entry)
+}
+
+impl Entry {
+    /// Adds peer addresses of control instances.
+    pub fn learn(&self, addresses: &[String]) {
+        self.mesh.learn(addresses);
+    }
+
+    /// Returns what is known of the leader.
+    pub fn leader(&self) -> Leader {
+        *self.leader.borrow()
+    }
+
+    /// Returns whether callers' questions can be answered now, as far as known.
+    pub fn is_ready(&self) -> bool {
+        is_fresh(&self.leader(), self.clock.now())
+    }
+
+    /// Asks the leader until it answers or the deadline passes. Questions may be asked
+    /// more than once, so they must be such that this changes nothing.
+    pub async fn ask(&self, query: Query, deadline: Instant) -> Outcome {
+        let mut attempts = 0;
+        let mut unknown = false;
+        loop {
+            let leader = self.await_leader(deadline).await;
+            let outcome = |answer, attempts| Outcome {
+                answer,
+                attempts,
+                term: leader.term,
+                leader_age: self.clock.now().since(leader.heard_at),
+            };
+            let given_up = if unknown {
+                Answer::Unknown
+            } else {
+                no_leader()
+            };
+            let sent = leader.instance.and_then(|id| self.send(id, &query));
+            let Some(answer) = sent else {
+                return outcome(given_up, attempts);
+            };
+            attempts += 1;
+            let limit = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
+            match timeout_at(limit, answer).await {
+                Ok(Ok(RemoteAnswer::Query(Answer::NotLeader))) => {}
+                Ok(Ok(RemoteAnswer::Query(Answer::Unknown))) => unknown = true,
+                Ok(Ok(RemoteAnswer::Query(answer))) => return outcome(answer, attempts),
+                _ => unknown = true,
+            }
+            if Instant::now() + ATTEMPT_PAUSE >= deadline {
+                let given_up = if unknown {
+                    Answer::Unknown
+                } else {
+                    no_leader()
+                };
+                return outcome(given_up, attempts);
+            }
+            tokio::time::sleep(ATTEMPT_PAUSE).await;
+        }
+    }
+
+    fn send(
+        &self,
+        to: InstanceId,
+        query: &Query,
+    ) -> Option<tokio::sync::oneshot::Receiver<RemoteAnswer>> {
+        let mut shared = self.shared.lock().expect("shared lock");
+        let link = shared.links.get(&to)?.last()?.clone();
+        let remote = Remote::Query(query.clone());
+        Some(shared.calls.send(to, &link, &remote))
+    }
+
+    async fn await_leader(&self, deadline: Instant) -> Leader {
+        let limit = deadline.min(Instant::now() + LEADER_WAIT);
+        let mut seen = self.leader.clone();
+        loop {
+            let leader = *seen.borrow_and_update();
+            if is_fresh(&leader, self.clock.now()) {
+                return leader;
+            }
+            let changed = timeout_at(limit, seen.changed()).await;
+            if !matches!(changed, Ok(Ok(()))) {
+                return Leader {
+                    instance: None,
+                    ..leader
+                };
+            }
+        }
+    }
+}
+
+const fn no_leader() -> Answer {
+    Answer::Unavailable {
+        retry_ms: NO_LEADER_RETRY_MS,
+        why: Refusal::NoLeader,
+    }
+}
+
+fn is_fresh(leader: &Leader, now: Moment) -> bool {
+    leader.instance.is_some() && now.since(leader.heard_at) <= LEADER_AGE_MAX
+}
+
+struct Follower<P> {
+    shared: Arc<Mutex<Shared>>,
+    leader: watch::Sender<Leader>,
+    clock: Clock,
+    port: Arc<P>,
+    journal: Journal,
+    mesh: Arc<Mesh>,
+    token: CancellationToken,
+    was_led: bool,
+}
+
+impl<P: Port> Follower<P> {
+    async fn run(mut self, mut inbox: mpsc::Receiver<Notice>) {
+        let mut pings = interval(PING_EVERY);
+        loop {
+            tokio::select! {
+                () = self.token.cancelled() => return,
+                Some(notice) = inbox.recv() => self.take(notice),
+                _ = pings.tick() => self.ping(),
+            }
+        }
+    }
+
+    fn ping(&mut self) {
+        let now = self.clock.now();
+        let mut shared = self.shared.lock().expect("shared lock");
+        let ping = Ping {
+            sent_at: now.0,
+            ..Ping::default()
+        };
+        for link in shared.links.values().filter_map(|links| links.last()) {
+            link.send(Body::Ping(ping.clone()));
+        }
+        let Shared { links, calls, .. } = &mut *shared;
+        calls.sweep(links);
+        drop(shared);
+        let leader = *self.leader.borrow();
+        let is_led = is_fresh(&leader, now);
+        if self.was_led && !is_led {
+            let age_ms = now.since(leader.heard_at).as_millis() as u64;
+            self.journal.write(&Line::LeaderGone { age_ms });
+        }
+        self.was_led = is_led;
+    }
+
+    fn take(&mut self, notice: Notice) {
+        match notice {
+            Notice::Up(peer, link) => {
+                self.journal.write(&Line::PeerUp {
+                    peer: peer.name.clone(),
+                    zone: peer.zone.clone(),
+                });
+                let mut shared = self.shared.lock().expect("shared lock");
+                shared.links.entry(peer.id).or_default().push(link);
+                shared.peers.insert(peer.id, peer);
+            }
+            Notice::Down(id, number) => self.take_down(id, number),
+            Notice::Message(from, body) => self.take_message(from, body),
+            Notice::Refused(error) => self.journal.write(&Line::PeerRefused { error }),
+        }
+    }
+
+    fn take_down(&mut self, id: InstanceId, number: u64) {
+        let mut shared = self.shared.lock().expect("shared lock");
+        let Some(links) = shared.links.get_mut(&id) else {
+            return;
+        };
+        links.retain(|link| link.number != number);
+        if !links.is_empty() {
+            return;
+        }
+        shared.links.remove(&id);
+        let Shared { links, calls, .. } = &mut *shared;
+        calls.sweep(links);
+        if let Some(peer) = shared.peers.remove(&id) {
+            let peer = peer.name;
+            self.journal.write(&Line::PeerDown { peer });
+        }
+        drop(shared);
+        self.leader.send_if_modified(|leader| {
+            let was_leader = leader.instance == Some(id);
+            if was_leader {
+                leader.instance = None;
+            }
+            was_leader
+        });
+    }
+
+    fn take_message(&mut self, from: InstanceId, body: Body) {
+        match body {
+            Body::Ping(ping) => self.mesh.learn(&ping.peers),
+            Body::Leading(leading) => self.take_leading(from, leading.term),
+            Body::Call(call) => match codec::decode::<Remote>(&call.body) {
+                Ok(Remote::Permission(question)) => {
+                    let shared = self.shared.lock().expect("shared lock");
+                    let link: Option<Link> =
+                        shared.links.get(&from).and_then(|l| l.last()).cloned();
+                    drop(shared);
+                    let (port, id) = (Arc::clone(&self.port), call.id);
+                    tokio::spawn(async move {
+                        let answer = RemoteAnswer::Permission(port.ask(question).await);
+                        if let Some(link) = link {
+                            calls::answer(&link, id, &answer);
+                        }
+                    });
+                }
+                // Entry instances answer nothing else.
+                Ok(Remote::Query(_)) => {}
+                Err(err) => self.unreadable("a peer's question", &err),
+            },
+            Body::Return(back) => {
+                let mut shared = self.shared.lock().expect("shared lock");
+                if let Err(err) = shared.calls.take(from, &back) {
+                    self.unreadable("a peer's answer", &err);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn unreadable(&self, what: &'static str, err: &postcard::Error) {
+        let error = err.to_string();
+        self.journal.write(&Line::Unreadable { what, error });
+    }
+
+    fn take_leading(&mut self, from: InstanceId, term: u64) {
+        let known = *self.leader.borrow();
+        if term < known.term {
+            return;
+        }
+        if known.instance != Some(from) || known.term != term {
+            let shared = self.shared.lock().expect("shared lock");
+            if let Some(peer) = shared.peers.get(&from) {
+                let leader = peer.name.clone();
+                self.journal.write(&Line::LeaderSeen { leader, term });
+            }
+        }
+        self.was_led = true;
+        self.leader.send_replace(Leader {
+            instance: Some(from),
+            term,
+            heard_at: self.clock.now(),
+        });
+    }
+}
--- /dev/null
+++ b/src/cell/metrics.rs
@@ -0,0 +1,119 @@
+//! Counters and histograms of an instance of a cell with one task plane.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Label with what happened.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct Outcome {
+    /// What happened.
+    pub outcome: String,
+}
+
+/// What an instance counts.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Arc<Mutex<Registry>>,
+    /// Callers' requests by status.
+    pub requests: Family<Outcome, Counter>,
+    /// Time to answer callers, in seconds.
+    pub request_seconds: Histogram,
+    /// Orders to workers by outcome.
+    pub orders: Family<Outcome, Counter>,
+    /// Time for workers to answer starts and stops, in seconds.
+    pub order_seconds: Histogram,
+    /// Ends of runs by how.
+    pub ends: Family<Outcome, Counter>,
+    /// Questions to the permission service by outcome.
+    pub questions: Family<Outcome, Counter>,
+    /// Time from proposing an entry to applying it, in seconds.
+    pub commit_seconds: Histogram,
+    /// Time from accepting a job to placing a run of it, in seconds.
+    pub wait_seconds: Histogram,
+    /// Whether this instance leads.
+    pub leads: Gauge,
+    /// Version of the configuration in force.
+    pub configuration: Gauge,
+    /// Jobs that have not ended.
+    pub open_jobs: Gauge,
+    /// Workers that may get work.
+    pub workers: Gauge,
+    /// Log lines dropped because the reader was too slow.
+    pub lines_dropped: Gauge,
+}
+
+fn seconds() -> Histogram {
+    // One millisecond to some half a minute.
+    Histogram::new(exponential_buckets(0.001, 2.0, 15))
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("plantaincross");
+        let metrics = Self {
+            registry: Arc::default(),
+            requests: Family::default(),
+            request_seconds: seconds(),
+            orders: Family::default(),
+            order_seconds: seconds(),
+            ends: Family::default(),
+            questions: Family::default(),
+            commit_seconds: seconds(),
+            wait_seconds: seconds(),
+            leads: Gauge::default(),
+            configuration: Gauge::default(),
+            open_jobs: Gauge::default(),
+            workers: Gauge::default(),
+            lines_dropped: Gauge::default(),
+        };
+        let m = &metrics;
+        registry.register("requests", "Requests by status", m.requests.clone());
+        registry.register(
+            "request_seconds",
+            "Time to answer",
+            m.request_seconds.clone(),
+        );
+        registry.register("orders", "Orders to workers", m.orders.clone());
+        registry.register("order_seconds", "Time of orders", m.order_seconds.clone());
+        registry.register("ends", "Ends of runs", m.ends.clone());
+        registry.register("questions", "Permission questions", m.questions.clone());
+        registry.register("commit_seconds", "Time to commit", m.commit_seconds.clone());
+        registry.register("wait_seconds", "Wait of runs", m.wait_seconds.clone());
+        registry.register("leads", "Whether this leads", m.leads.clone());
+        registry.register("configuration", "Version in force", m.configuration.clone());
+        registry.register("open_jobs", "Jobs not ended", m.open_jobs.clone());
+        registry.register("workers", "Workers known", m.workers.clone());
+        registry.register("lines_dropped", "Lines dropped", m.lines_dropped.clone());
+        *metrics.registry.lock().expect("registry lock") = registry;
+        metrics
+    }
+}
+
+impl Metrics {
+    /// Counts one of a family.
+    pub fn count(family: &Family<Outcome, Counter>, outcome: impl Into<String>) {
+        let outcome = outcome.into();
+        family.get_or_create(&Outcome { outcome }).inc();
+    }
+
+    /// Records a time.
+    pub fn observe(histogram: &Histogram, took: Duration) {
+        histogram.observe(took.as_secs_f64());
+    }
+
+    /// Returns everything in the Prometheus text format.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let registry = self.registry.lock().expect("registry lock");
+        encode(&mut text, &registry).expect("writing to a string");
+        text
+    }
+}
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -2,40 +2,54 @@
 
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
+use rustix::time::{ClockId, clock_gettime};
+
 use crate::core::time::Moment;
 
-/// Reading of a clock at its origin. Keeps [`Moment::ZERO`] long past.
+/// Clocks start away from zero, so that moments before the start can be told.
 const ORIGIN_MICROS: u64 = 3_600_000_000;
 
-/// The monotonic clock of a process.
+/// The process's monotonic clock. It goes on while the machine is suspended, so that
+/// no lease outlives a suspension.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: Instant,
+    origin_micros: u64,
 }
 
 impl Default for Clock {
     fn default() -> Self {
         Self {
             origin: Instant::now(),
+            origin_micros: boot_micros(),
         }
     }
 }
 
 impl Clock {
-    /// Returns the present moment.
+    /// Returns the present time.
     pub fn now(&self) -> Moment {
-        let micros = u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let micros = boot_micros().saturating_sub(self.origin_micros);
         Moment(micros.saturating_add(ORIGIN_MICROS))
     }
 
-    /// Returns the instant of a moment of this clock.
+    /// Returns the instant of a moment, for timers. Timers stand still while the
+    /// machine is suspended.
     pub fn instant(&self, at: Moment) -> Instant {
         let micros = at.0.saturating_sub(ORIGIN_MICROS);
         self.origin + std::time::Duration::from_micros(micros)
     }
 }
 
-/// Returns the wall clock in milliseconds since the Unix epoch.
+fn boot_micros() -> u64 {
+    const MICROS: u64 = 1_000_000;
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or(0);
+    seconds * MICROS + nanos / 1_000
+}
+
+/// Returns the milliseconds since 1970.
 pub fn wall_millis() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/src/core/consensus/election.rs
+++ b/src/core/consensus/election.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use bytes::Bytes;
 use rand::RngExt;
 
 use super::progress::Progress;
@@ -132,12 +133,10 @@
         });
         self.leader = Some(self.id);
         // The entry of the new term lets earlier entries commit.
-        let noop = crate::core::registry::Command::Noop;
-        let command = postcard::to_allocvec(&noop).expect("command encodes");
         self.append(Entry {
             term: self.hard.term,
             index: next,
-            command: command.into(),
+            command: Bytes::new(),
             voters: Vec::new(),
         });
         self.replicate(now, true);
--- a/src/core/consensus/replica.rs
+++ b/src/core/consensus/replica.rs
@@ -106,6 +106,21 @@
     pub(super) ready: Ready,
 }
 
+impl Ready {
+    /// Returns whether the disk has something to store.
+    pub const fn needs_disk(&self) -> bool {
+        self.hard.is_some()
+            || self.snapshot.is_some()
+            || self.truncate_from.is_some()
+            || !self.entries.is_empty()
+    }
+
+    /// Returns whether there is nothing to do.
+    pub const fn is_idle(&self) -> bool {
+        !self.needs_disk() && self.messages.is_empty() && self.committed.is_empty()
+    }
+}
+
 impl Replica {
     /// Makes a replica that starts at `now` from what it stored.
     ///
@@ -338,14 +353,20 @@
     /// Returns the work collected since the last call.
     pub fn take_ready(&mut self) -> Ready {
         let mut ready = std::mem::take(&mut self.ready);
+        ready.committed = self.take_committed();
+        ready
+    }
+
+    fn take_committed(&mut self) -> Vec<Entry> {
+        let mut committed = Vec::new();
         while self.handed < self.commit {
             let Some(entry) = self.log.get(self.handed + 1) else {
                 break;
             };
             self.handed += 1;
-            ready.committed.push(entry.clone());
+            committed.push(entry.clone());
         }
-        ready
+        committed
     }
 
     /// Records that all work returned so far has been stored.
@@ -356,6 +377,33 @@
         }
     }
 
+    /// Records that the log is stored up to the entry `index` of `term`, while later
+    /// entries may still be on their way to the disk.
+    pub fn persisted_to(&mut self, now: Moment, index: u64, term: u64) {
+        if self.log.term_at(index) != Some(term) {
+            return;
+        }
+        self.stable = self.stable.max(index);
+        if self.is_leader() {
+            self.advance_commit(now);
+        }
+    }
+
+    /// Returns what a leader may send and apply before its own disk is done. Its
+    /// entries count for it only after [`Replica::persisted_to`], so followers may
+    /// have them first. Others must store before they answer, and get nothing here.
+    pub fn take_unstored(&mut self) -> Ready {
+        if !self.is_leader() || self.ready.hard.is_some() {
+            return Ready::default();
+        }
+        let messages = std::mem::take(&mut self.ready.messages);
+        Ready {
+            messages,
+            committed: self.take_committed(),
+            ..Ready::default()
+        }
+    }
+
     /// Compacts the log by a snapshot of the state after entry `index`.
     pub fn compact(&mut self, index: u64, data: Bytes) -> Option<Snapshot> {
         let term = self.log.term_at(index)?;
--- a/src/core/control/mod.rs
+++ b/src/core/control/mod.rs
@@ -429,6 +429,11 @@
                 .push(Effect::Event(Event::VotersChanged { voters }));
             return;
         }
+        // The first entry of a term changes nothing.
+        if command.is_empty() {
+            self.registry.applied = index;
+            return;
+        }
         let decoded: Result<Command, _> = postcard::from_bytes(command);
         let outcome = match &decoded {
             Ok(command) => self.registry.apply(index, command),
--- a/src/core/control/peers.rs
+++ b/src/core/control/peers.rs
@@ -154,6 +154,8 @@
             Body::Report(report) => self.take_report(now, from, &report),
             Body::Allotment(allotment) => self.take_allotment(now, from, &allotment),
             Body::Withdrawn(withdrawn) => self.take_withdrawn(withdrawn.keys),
+            // Only cells with one task plane have such a leader.
+            Body::Leading(_) => {}
         }
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,8 @@
 pub mod gate;
 pub mod job;
 pub mod lease;
+pub mod plane;
+pub mod roster;
 
 pub mod registry;
 pub mod retry;
--- /dev/null
+++ b/src/core/plane/lead/channel.rs
@@ -0,0 +1,195 @@
+//! What the leader knows of one worker.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::core::plane::types::{Amount, TaskName};
+use crate::core::time::Moment;
+
+/// A worker that left an order unanswered for this long gets nothing new.
+pub const SILENCE_MAX: Duration = Duration::from_millis(1_200);
+/// Failures in a row after which a worker is left alone.
+const FAILURES_MAX: u32 = 2;
+/// First time that a failing worker is left alone; it doubles with each failure.
+const AVOID_FIRST: Duration = Duration::from_secs(3);
+/// Longest time that a failing worker is left alone.
+const AVOID_MAX: Duration = Duration::from_secs(24);
+/// How far a worker's clock may fall behind ours, as a divisor: 2 %.
+const CLOCK_SLOW_DIVISOR: u64 = 50;
+/// Weight of the latest run in a worker's speed.
+const SPEED_WEIGHT: f64 = 0.25;
+
+/// A reading of a worker's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reading {
+    /// Its clock, in milliseconds.
+    pub clock_ms: u64,
+    /// When the reading came.
+    pub at: Moment,
+}
+
+impl Reading {
+    /// Returns what the clock shows now if it runs as ours.
+    pub fn likely(&self, now: Moment) -> u64 {
+        self.clock_ms + now.since(self.at).as_millis() as u64
+    }
+
+    /// Returns the least that the clock can show now.
+    pub fn least(&self, now: Moment) -> u64 {
+        let passed = now.since(self.at).as_millis() as u64;
+        self.clock_ms + passed - passed / CLOCK_SLOW_DIVISOR
+    }
+}
+
+/// What the leader knows of a run that may be on the worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Live {
+    /// Run.
+    pub run: u32,
+    /// When the worker confirmed the start; or listed the run.
+    pub confirmed_at: Option<Moment>,
+    /// Whether a list of this incarnation has shown it.
+    pub listed: bool,
+    /// When the start was ordered.
+    pub ordered_at: Moment,
+    /// Whether the start had no answer.
+    pub in_doubt: bool,
+    /// When a stop was last ordered.
+    pub stop_at: Option<Moment>,
+    /// When the worker confirmed a stop.
+    pub stopped_at: Option<Moment>,
+    /// Latest progress in percent, and since when it has been that.
+    pub progress: Option<(u32, Moment)>,
+    /// Whether an end has been proposed.
+    pub ending: bool,
+    /// Processor time that it takes as urgent work, in thousandths of a core.
+    pub urgent_cpu: i64,
+}
+
+/// What the leader knows of a worker.
+#[derive(Clone, Debug)]
+pub struct Channel {
+    /// Whether it answered a look with this leader's fence.
+    pub adopted: bool,
+    /// Latest reading of its clock.
+    pub reading: Option<Reading>,
+    /// When it last answered anything.
+    pub heard_at: Moment,
+    /// Latest report received.
+    pub reported_at: Moment,
+    /// Latest end of a lease that was sent, on its clock.
+    pub until: u64,
+    /// When everything that earlier leaders ordered has surely lapsed.
+    pub lapse_by: Moment,
+    /// Ends up to this number are stored.
+    pub seen: u64,
+    /// Ends up to this number the worker knows to be stored.
+    pub told_seen: u64,
+    /// Ends up to this number have been proposed.
+    pub proposed: u64,
+    /// Look under way.
+    pub look: Option<u64>,
+    /// When the next look is due.
+    pub look_at: Moment,
+    /// When an order was first left unanswered since the last answer.
+    pub unanswered_since: Option<Moment>,
+    /// Runs.
+    pub live: BTreeMap<TaskName, Live>,
+    /// What planned starts will take.
+    pub reserved: Amount,
+    /// Failed runs since the latest success.
+    pub failures: u32,
+    /// The worker gets nothing before this.
+    pub avoid_until: Moment,
+    /// Run time relative to what is expected.
+    pub slowness: f64,
+    /// When the worker said that it ends.
+    pub departing: Option<Moment>,
+}
+
+impl Channel {
+    /// Makes the record of a worker whose earlier orders lapse by `lapse_by`.
+    pub fn new(now: Moment, lapse_by: Moment) -> Self {
+        Self {
+            adopted: false,
+            reading: None,
+            heard_at: now,
+            reported_at: now,
+            until: 0,
+            lapse_by,
+            seen: 0,
+            told_seen: 0,
+            proposed: 0,
+            look: None,
+            look_at: now,
+            unanswered_since: None,
+            live: BTreeMap::new(),
+            reserved: Amount::default(),
+            failures: 0,
+            avoid_until: Moment::ZERO,
+            slowness: 1.0,
+            departing: None,
+        }
+    }
+
+    /// Records an answer with the worker's clock.
+    pub fn hear(&mut self, now: Moment, clock_ms: u64) {
+        self.heard_at = now;
+        self.unanswered_since = None;
+        self.reading = Some(Reading { clock_ms, at: now });
+    }
+
+    /// Records that an order had no answer.
+    pub fn miss(&mut self, sent_at: Moment) {
+        self.unanswered_since.get_or_insert(sent_at);
+    }
+
+    /// Returns whether the worker has left orders unanswered for too long.
+    pub fn is_silent(&self, now: Moment) -> bool {
+        self.unanswered_since
+            .is_some_and(|at| now.since(at) > SILENCE_MAX)
+    }
+
+    /// Returns whether new runs may be ordered.
+    pub fn is_usable(&self, now: Moment) -> bool {
+        self.adopted
+            && self.unanswered_since.is_none()
+            && self.departing.is_none()
+            && now >= self.avoid_until
+            && (self.failures < FAILURES_MAX || self.live.is_empty())
+    }
+
+    /// Returns the lease end for an order sent now, on the worker's clock.
+    pub fn lease_end(&mut self, now: Moment, hold: Duration) -> Option<u64> {
+        let until = self.reading?.likely(now) + hold.as_millis() as u64;
+        self.until = self.until.max(until);
+        Some(until)
+    }
+
+    /// Returns whether every lease on the worker has surely run out.
+    pub fn has_lapsed(&self, now: Moment) -> bool {
+        if now < self.lapse_by {
+            return false;
+        }
+        self.reading
+            .is_none_or(|reading| reading.least(now) > self.until)
+    }
+
+    /// Records a failed run; yields for how long the worker is left alone, if it is.
+    pub fn fail(&mut self, now: Moment) -> Option<Duration> {
+        self.failures += 1;
+        if self.failures < FAILURES_MAX {
+            return None;
+        }
+        let doubled = (self.failures - FAILURES_MAX).min(8);
+        let wait = (AVOID_FIRST * 2_u32.pow(doubled)).min(AVOID_MAX);
+        self.avoid_until = now + wait;
+        Some(wait)
+    }
+
+    /// Records a successful run that took `ratio` of the expected time.
+    pub fn succeed(&mut self, ratio: f64) {
+        self.failures = 0;
+        self.slowness += SPEED_WEIGHT * (ratio.clamp(0.2, 10.0) - self.slowness);
+    }
+}
--- /dev/null
+++ b/src/core/plane/lead/mod.rs
@@ -0,0 +1,292 @@
+//! The leader of a task plane: takes questions, orders runs and follows workers.
+//!
+//! A leader exists for one term. It plans on the committed state plus what it has
+//! proposed itself, and sends an order only after the start is committed.
+
+mod channel;
+mod io;
+mod order;
+mod permits;
+mod place;
+mod plan;
+mod requests;
+mod workers;
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
+
+pub use channel::{Channel, Live, Reading};
+pub use io::{
+    Action, Answer, Call, Declined, Effect, EndRow, Lists, Note, Order, Permission, Query,
+    Question, Refusal, Reply, Request, RunningRow, Work,
+};
+pub use order::{Rank, rank};
+pub use permits::{Permits, expected, named_count};
+pub use place::{Candidate, Seat, Seats};
+
+use super::state::{Command, End, Start, State};
+use super::types::{Amount, StepName, TaskName, WorkerKey};
+use crate::core::registry::InstanceId;
+use crate::core::time::{Moment, with_clock_margin};
+
+/// What an installation allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Longest lease of a run.
+    pub hold: Duration,
+    /// Longest time that a stop takes.
+    pub stop: Duration,
+    /// How much slower a task is away from its data or spread over racks.
+    pub far: f64,
+}
+
+/// The present time on the clocks that decisions use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Now {
+    /// Monotonic time, which goes on while the process is suspended.
+    pub at: Moment,
+    /// Milliseconds since 1970.
+    pub wall_ms: u64,
+}
+
+/// Shortest time between two rounds of planning. Starts and ends of one round share
+/// one log entry, and a round costs some 100 us of processor time.
+const PLAN_EVERY: Duration = Duration::from_millis(4);
+/// Time within which planning takes place at the latest, for what time alone changes.
+const PLAN_IDLE: Duration = Duration::from_millis(100);
+/// Weight of the latest run in the ratio of run times to estimates.
+const ESTIMATE_WEIGHT: f64 = 0.1;
+
+/// The leader of one term.
+#[derive(Debug)]
+pub struct Lead {
+    fence: u64,
+    since: Moment,
+    bounds: Bounds,
+    channels: BTreeMap<WorkerKey, Channel>,
+    permits: Permits,
+    sent: HashMap<u64, io::Sent>,
+    next_number: u64,
+    /// Tasks whose start is proposed and not committed.
+    placing: HashMap<TaskName, WorkerKey>,
+    placing_steps: HashMap<StepName, u16>,
+    placing_use: HashMap<u32, Amount>,
+    reservations: HashMap<TaskName, (Amount, Amount, Option<u32>)>,
+    cancelling: HashSet<super::types::JobId>,
+    submitting: HashMap<super::types::JobId, Vec<Call>>,
+    /// Ends to propose with the next round.
+    ends: Vec<End>,
+    /// Run time relative to the estimate, by queue name.
+    ratios: HashMap<String, f64>,
+    urgent_use: f64,
+    dirty: bool,
+    planned_at: Moment,
+    effects: Vec<Effect>,
+}
+
+impl Lead {
+    /// Begins a term. Orders of earlier leaders may be under way until their leases
+    /// have run out.
+    pub fn new(now: Now, fence: u64, bounds: Bounds, state: &State) -> Self {
+        let mut lead = Self {
+            fence,
+            since: now.at,
+            bounds,
+            channels: BTreeMap::new(),
+            permits: Permits::default(),
+            sent: HashMap::new(),
+            next_number: 0,
+            placing: HashMap::new(),
+            placing_steps: HashMap::new(),
+            placing_use: HashMap::new(),
+            reservations: HashMap::new(),
+            cancelling: HashSet::new(),
+            submitting: HashMap::new(),
+            ends: Vec::new(),
+            ratios: HashMap::new(),
+            urgent_use: 0.0,
+            dirty: true,
+            planned_at: Moment::ZERO,
+            effects: Vec::new(),
+        };
+        for (key, worker) in (0..).map(WorkerKey).zip(&state.workers) {
+            if worker.gone && worker.runs.is_empty() {
+                continue;
+            }
+            let mut channel = Channel::new(now.at, lead.lapse_by(now.at));
+            for (task, run) in &worker.runs {
+                let live = Live {
+                    run: run.run,
+                    ordered_at: now.at,
+                    ..Live::default()
+                };
+                channel.live.insert(*task, live);
+            }
+            lead.channels.insert(key, channel);
+        }
+        lead
+    }
+
+    /// Returns when everything that was ordered before now has surely lapsed.
+    fn lapse_by(&self, now: Moment) -> Moment {
+        now + with_clock_margin(with_clock_margin(self.bounds.hold)) + self.bounds.stop
+    }
+
+    /// Returns when the term began.
+    pub const fn since(&self) -> Moment {
+        self.since
+    }
+
+    /// Returns the workers' channels.
+    pub const fn channels(&self) -> &BTreeMap<WorkerKey, Channel> {
+        &self.channels
+    }
+
+    /// Replaces the instances that can ask for permits.
+    pub fn set_askers(&mut self, askers: &[InstanceId]) {
+        self.permits.set_askers(askers);
+    }
+
+    /// Lets time pass: looks, stops, lapses and planning that are due.
+    pub fn tick(&mut self, now: Now, state: &State) -> Vec<Effect> {
+        for finished in self.permits.expire(now.at) {
+            self.note_permission(finished);
+            self.dirty = true;
+        }
+        self.tick_workers(now, state);
+        self.maybe_plan(now, state);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Takes a question.
+    pub fn ask(&mut self, now: Now, state: &State, call: Call, query: Query) -> Vec<Effect> {
+        self.take_query(now, state, call, query);
+        self.maybe_plan(now, state);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Takes what came back for an order.
+    pub fn reply(&mut self, now: Now, state: &State, number: u64, reply: Reply) -> Vec<Effect> {
+        self.take_reply(now, state, number, reply);
+        self.maybe_plan(now, state);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Takes an answer of the permission service.
+    pub fn permission(
+        &mut self,
+        now: Now,
+        state: &State,
+        number: u64,
+        permission: Permission,
+    ) -> Vec<Effect> {
+        let granted = match permission {
+            Permission::Granted(rows) => Some(
+                rows.into_iter()
+                    .filter_map(|(id, permit)| Some((*state.worker_keys.get(&id)?, permit)))
+                    .collect(),
+            ),
+            Permission::Busy | Permission::NoAnswer => None,
+        };
+        if let Some(finished) = self.permits.take(now.at, number, granted) {
+            self.note_permission(finished);
+            self.dirty = true;
+        }
+        self.maybe_plan(now, state);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Takes a command of this term that has been committed and applied.
+    pub fn applied(&mut self, now: Now, state: &State, command: &Command) -> Vec<Effect> {
+        self.dirty = true;
+        match command {
+            Command::Configure { .. } => {
+                let version = state.plan.version;
+                self.note(Note::Configured { version });
+            }
+            Command::Register(report) => self.registered(now, state, &report.id),
+            Command::Depart(worker) => self.departed(now, state, *worker, "another incarnation"),
+            Command::Submit { submission, .. } => {
+                self.submitting.remove(&submission.id);
+            }
+            Command::Cancel { job, .. } => {
+                self.cancelling.remove(job);
+                self.stop_unwanted(now, state);
+            }
+            Command::Progress { ends, starts, .. } => self.progressed(now, state, ends, starts),
+        }
+        self.maybe_plan(now, state);
+        std::mem::take(&mut self.effects)
+    }
+
+    fn progressed(&mut self, now: Now, state: &State, ends: &[End], starts: &[Start]) {
+        for end in ends {
+            self.ended(state, end);
+        }
+        let breaks = |end: &End| end.how != super::types::How::Done;
+        if ends.iter().any(breaks) {
+            self.stop_unwanted(now, state);
+        }
+        for start in starts {
+            self.started(now, state, *start);
+        }
+        self.advance_seen(now);
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    fn note(&mut self, note: Note) {
+        self.effects.push(Effect::Note(note));
+    }
+
+    fn note_permission(&mut self, finished: permits::Finished) {
+        self.note(Note::Permission {
+            step: finished.step.to_string(),
+            named: finished.named,
+            granted: finished.granted,
+            took_ms: finished.took.as_millis() as u64,
+        });
+    }
+
+    fn maybe_plan(&mut self, now: Now, state: &State) {
+        let passed = now.at.since(self.planned_at);
+        let is_due = self.dirty && passed >= PLAN_EVERY || passed >= PLAN_IDLE;
+        if !is_due {
+            return;
+        }
+        self.dirty = false;
+        self.planned_at = now.at;
+        let starts = self.plan(now, state);
+        let ends = std::mem::take(&mut self.ends);
+        if !starts.is_empty() || !ends.is_empty() {
+            let at_ms = now.wall_ms;
+            let command = Command::Progress {
+                ends,
+                starts,
+                at_ms,
+            };
+            self.effects.push(Effect::Propose(command, Vec::new()));
+        }
+    }
+
+    /// Returns when the next call of [`Lead::tick`] is worth it, at the latest.
+    pub fn wake_at(&self) -> Moment {
+        if self.dirty {
+            self.planned_at + PLAN_EVERY
+        } else {
+            self.planned_at + PLAN_IDLE
+        }
+    }
+
+    fn learn_ratio(&mut self, queue: &str, ratio: f64) {
+        let known = self.ratios.entry(queue.to_owned()).or_insert(1.0);
+        *known += ESTIMATE_WEIGHT * (ratio.clamp(0.1, 10.0) - *known);
+    }
+
+    fn ratio(&self, queue: &str) -> f64 {
+        self.ratios.get(queue).copied().unwrap_or(1.0)
+    }
+}
--- /dev/null
+++ b/src/core/plane/lead/permits.rs
@@ -0,0 +1,235 @@
+//! Permission to run steps on workers.
+//!
+//! The permission service answers one question at a time for each instance that
+//! asks, and a question takes longer the more workers it names. Questions are
+//! spread over all instances, each to the one that would have its answer first.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use super::io::Question;
+use crate::core::plane::plan::Permission;
+use crate::core::plane::types::{StepName, WorkerKey};
+use crate::core::registry::InstanceId;
+use crate::core::time::Moment;
+
+/// A permit counts as over this long before it is, for the way to the worker.
+const PERMIT_MARGIN: Duration = Duration::from_millis(150);
+/// Time on top of twice the expected one after which an answer is given up.
+const ANSWER_SLACK: Duration = Duration::from_millis(700);
+/// An instance whose question failed is not asked again for this long.
+const ASKER_PAUSE: Duration = Duration::from_millis(500);
+/// Workers that one question may name; a limit of the service.
+pub const NAMED_MAX: usize = 100;
+/// Fewest workers that a first question names.
+const NAMED_MIN: usize = 8;
+/// Part of the fixed cost of a question that naming workers may add.
+const NAMING_SHARE: f64 = 0.4;
+
+/// A permit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Permit {
+    /// Text that a start carries.
+    pub text: String,
+    /// When it is over.
+    pub until: Moment,
+}
+
+/// What is known for one step.
+#[derive(Clone, Debug, Default)]
+pub struct Known {
+    /// Workers that may run the step, with the latest permit.
+    pub good: BTreeMap<WorkerKey, Permit>,
+    /// Workers that may not.
+    pub bad: BTreeSet<WorkerKey>,
+    /// Whether a question is under way.
+    pub asking: bool,
+    /// When to ask again after a failure.
+    pub retry_at: Moment,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Asker {
+    busy_until: Moment,
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    step: StepName,
+    asker: InstanceId,
+    named: Vec<WorkerKey>,
+    sent_at: Moment,
+    expires: Moment,
+    valid: Duration,
+}
+
+/// A finished question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Finished {
+    /// Step.
+    pub step: StepName,
+    /// Workers named.
+    pub named: usize,
+    /// Workers granted.
+    pub granted: Option<usize>,
+    /// Time taken.
+    pub took: Duration,
+}
+
+/// All permits of a leader.
+#[derive(Clone, Debug, Default)]
+pub struct Permits {
+    steps: HashMap<StepName, Known>,
+    askers: BTreeMap<InstanceId, Asker>,
+    open: HashMap<u64, Open>,
+}
+
+/// Returns how many workers a first question names, so that naming them costs less
+/// than [`NAMING_SHARE`] of the question itself.
+pub fn named_count(terms: Permission) -> usize {
+    if terms.each_ms <= 0.0 {
+        return NAMED_MAX;
+    }
+    let affordable = terms.decide_ms * NAMING_SHARE / terms.each_ms;
+    (affordable as usize).clamp(NAMED_MIN, NAMED_MAX)
+}
+
+/// Returns the expected time of a question.
+pub fn expected(terms: Permission, named: usize) -> Duration {
+    let millis = terms.decide_ms + terms.each_ms * named as f64;
+    Duration::from_micros((millis * 1_000.0) as u64)
+}
+
+impl Permits {
+    /// Replaces the instances that can ask.
+    pub fn set_askers(&mut self, askers: &[InstanceId]) {
+        self.askers.retain(|id, _| askers.contains(id));
+        for id in askers {
+            self.askers.entry(*id).or_insert(Asker {
+                busy_until: Moment::ZERO,
+            });
+        }
+    }
+
+    /// Returns what is known for a step.
+    pub fn known(&self, step: StepName) -> Option<&Known> {
+        self.steps.get(&step)
+    }
+
+    /// Returns a permit that is valid now.
+    pub fn valid(&self, now: Moment, step: StepName, worker: WorkerKey) -> Option<&Permit> {
+        let permit = self.steps.get(&step)?.good.get(&worker)?;
+        (now < permit.until).then_some(permit)
+    }
+
+    /// Drops a permit that a worker refused.
+    pub fn revoke(&mut self, step: StepName, worker: WorkerKey) {
+        if let Some(known) = self.steps.get_mut(&step)
+            && let Some(permit) = known.good.get_mut(&worker)
+        {
+            permit.until = Moment::ZERO;
+        }
+    }
+
+    /// Forgets steps that `keep` does not want.
+    pub fn retain(&mut self, keep: impl Fn(StepName) -> bool) {
+        self.steps.retain(|step, known| known.asking || keep(*step));
+    }
+
+    /// Returns whether an instance is free to ask at once.
+    pub fn has_idle_asker(&self, now: Moment) -> bool {
+        self.askers.values().any(|a| a.busy_until <= now)
+    }
+
+    /// Asks for workers unless a question for the step is under way or no instance
+    /// can ask. Yields who asks what.
+    pub fn ask(
+        &mut self,
+        now: Moment,
+        number: u64,
+        step: StepName,
+        terms: Permission,
+        named: Vec<(WorkerKey, String)>,
+    ) -> Option<(InstanceId, Question)> {
+        let known = self.steps.entry(step).or_default();
+        if known.asking || now < known.retry_at || named.is_empty() {
+            return None;
+        }
+        let (&asker, at) = self.askers.iter_mut().min_by_key(|(_, a)| a.busy_until)?;
+        let cost = expected(terms, named.len());
+        at.busy_until = at.busy_until.max(now) + cost;
+        known.asking = true;
+        let timeout = at.busy_until.since(now) + cost + ANSWER_SLACK;
+        let (keys, workers): (Vec<WorkerKey>, Vec<String>) =
+            named.into_iter().take(NAMED_MAX).unzip();
+        self.open.insert(
+            number,
+            Open {
+                step,
+                asker,
+                named: keys,
+                sent_at: now,
+                expires: now + timeout,
+                valid: Duration::from_millis(terms.valid_ms),
+            },
+        );
+        let question = Question {
+            number,
+            step,
+            workers,
+            timeout_ms: timeout.as_millis() as u64,
+        };
+        Some((asker, question))
+    }
+
+    /// Takes an answer. Without `granted` the question failed.
+    pub fn take(
+        &mut self,
+        now: Moment,
+        number: u64,
+        granted: Option<Vec<(WorkerKey, String)>>,
+    ) -> Option<Finished> {
+        let open = self.open.remove(&number)?;
+        let took = now.since(open.sent_at);
+        let known = self.steps.entry(open.step).or_default();
+        known.asking = false;
+        let finished = Finished {
+            step: open.step,
+            named: open.named.len(),
+            granted: granted.as_ref().map(Vec::len),
+            took,
+        };
+        let Some(granted) = granted else {
+            known.retry_at = now + ASKER_PAUSE / 5;
+            if let Some(asker) = self.askers.get_mut(&open.asker) {
+                asker.busy_until = asker.busy_until.max(now + ASKER_PAUSE);
+            }
+            return Some(finished);
+        };
+        let life = open.valid.saturating_sub(PERMIT_MARGIN);
+        for worker in &open.named {
+            if !granted.iter().any(|(good, _)| good == worker) {
+                known.bad.insert(*worker);
+                known.good.remove(worker);
+            }
+        }
+        for (worker, text) in granted {
+            let until = now + life;
+            known.good.insert(worker, Permit { text, until });
+        }
+        Some(finished)
+    }
+
+    /// Gives up questions that had no answer in time.
+    pub fn expire(&mut self, now: Moment) -> Vec<Finished> {
+        let late: Vec<u64> = self
+            .open
+            .iter()
+            .filter(|(_, open)| now >= open.expires)
+            .map(|(&number, _)| number)
+            .collect();
+        late.into_iter()
+            .filter_map(|number| self.take(now, number, None))
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/core/plane/lead/place.rs
@@ -0,0 +1,213 @@
+//! Fitting tasks to workers.
+//!
+//! Load: gangs of large tasks beside many small ones. Small tasks go where they
+//! leave the least room, so that whole holes stay for large ones, and a gang that
+//! does not fit yet keeps later work off the workers it is closest to fitting on.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::core::plane::types::{Amount, WorkerKey};
+
+/// Room on a worker that is worth a start, in thousandths of a core, for each
+/// multiple of the expected run time that the worker is slower.
+const SLOW_COST: f64 = 24_000.0;
+/// Cost of each failure in a row, in thousandths of a core.
+const FAILURE_COST: f64 = 16_000.0;
+/// Cost of a rack without the step's data, for each multiple that it is slower.
+const FAR_COST: f64 = 24_000.0;
+
+/// A worker as placing sees it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Seat {
+    /// Capacity.
+    pub capacity: Amount,
+    /// What is free; may be below zero for what waiting gangs keep.
+    pub free: Amount,
+    /// What is free for work that is not urgent.
+    pub free_later: Amount,
+    /// Rack.
+    pub rack: u32,
+    /// Run time relative to what is expected.
+    pub slowness: f64,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Whether a task with users of its own is there.
+    pub serving: bool,
+    /// Whether a filling task is there.
+    pub filling: bool,
+}
+
+/// What is to be placed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Candidate {
+    /// What a task takes.
+    pub room: Amount,
+    /// Whether urgent work's room may be used.
+    pub urgent: bool,
+    /// Rack with the data.
+    pub data_rack: Option<u32>,
+    /// How much slower tasks are elsewhere.
+    pub far: f64,
+    /// Tasks that may be on one worker.
+    pub most: Option<u16>,
+    /// Whether all tasks should be on one rack.
+    pub one_rack: bool,
+    /// Whether the tasks have users of their own.
+    pub serving: bool,
+    /// Whether the tasks only fill.
+    pub filling: bool,
+}
+
+/// All workers that may get work now.
+#[derive(Clone, Debug, Default)]
+pub struct Seats {
+    seats: BTreeMap<WorkerKey, Seat>,
+}
+
+impl Seats {
+    /// Adds a worker.
+    pub fn add(&mut self, worker: WorkerKey, seat: Seat) {
+        self.seats.insert(worker, seat);
+    }
+
+    /// Returns a worker.
+    pub fn get(&self, worker: WorkerKey) -> Option<&Seat> {
+        self.seats.get(&worker)
+    }
+
+    /// Returns all workers.
+    pub fn iter(&self) -> impl Iterator<Item = (WorkerKey, &Seat)> {
+        self.seats.iter().map(|(&key, seat)| (key, seat))
+    }
+
+    /// Takes room on a worker.
+    pub fn take(&mut self, worker: WorkerKey, what: &Candidate) {
+        if let Some(seat) = self.seats.get_mut(&worker) {
+            seat.free -= what.room;
+            seat.free_later -= what.room;
+            seat.serving |= what.serving;
+            seat.filling |= what.filling;
+        }
+    }
+
+    fn fits(seat: &Seat, what: &Candidate) -> bool {
+        let free = if what.urgent {
+            &seat.free
+        } else {
+            &seat.free_later
+        };
+        // What fills must not slow down what serves, so that they never share a
+        // worker.
+        what.room.fits(free) && !(what.serving && seat.filling || what.filling && seat.serving)
+    }
+
+    /// Finds workers for up to `count` tasks among `allowed`, given how many tasks of
+    /// the step each worker has. Takes no room.
+    pub fn find(
+        &self,
+        what: &Candidate,
+        count: usize,
+        allowed: &[WorkerKey],
+        present: &HashMap<WorkerKey, u16>,
+    ) -> Vec<WorkerKey> {
+        if what.one_rack
+            && let Some(found) = self.find_on_one_rack(what, count, allowed, present)
+        {
+            return found;
+        }
+        self.find_anywhere(what, count, allowed, present)
+    }
+
+    fn find_on_one_rack(
+        &self,
+        what: &Candidate,
+        count: usize,
+        allowed: &[WorkerKey],
+        present: &HashMap<WorkerKey, u16>,
+    ) -> Option<Vec<WorkerKey>> {
+        let mut racks: BTreeMap<u32, Vec<WorkerKey>> = BTreeMap::new();
+        for &key in allowed {
+            if let Some(seat) = self.seats.get(&key) {
+                racks.entry(seat.rack).or_default().push(key);
+            }
+        }
+        racks
+            .into_values()
+            .map(|keys| self.find_anywhere(what, count, &keys, present))
+            .find(|found| found.len() == count)
+    }
+
+    fn find_anywhere(
+        &self,
+        what: &Candidate,
+        count: usize,
+        allowed: &[WorkerKey],
+        present: &HashMap<WorkerKey, u16>,
+    ) -> Vec<WorkerKey> {
+        let mut seats: Vec<(WorkerKey, Seat, u16)> = allowed
+            .iter()
+            .filter_map(|&key| {
+                let seat = self.seats.get(&key)?.clone();
+                Self::fits(&seat, what).then(|| {
+                    let here = present.get(&key).copied().unwrap_or(0);
+                    (key, seat, here)
+                })
+            })
+            .collect();
+        let mut found = Vec::new();
+        while found.len() < count {
+            let best = seats
+                .iter_mut()
+                .filter(|(_, seat, here)| {
+                    what.most.is_none_or(|most| *here < most) && Self::fits(seat, what)
+                })
+                .min_by(|a, b| cost(&a.1, what).total_cmp(&cost(&b.1, what)));
+            let Some((key, seat, here)) = best else {
+                break;
+            };
+            seat.free -= what.room;
+            seat.free_later -= what.room;
+            *here += 1;
+            found.push(*key);
+        }
+        found
+    }
+
+    /// Keeps room for `count` tasks that do not fit yet: what is free on the workers
+    /// closest to fitting them is withheld from later candidates.
+    pub fn keep(&mut self, what: &Candidate, count: usize, allowed: &[WorkerKey]) {
+        let mut closest: Vec<(i64, WorkerKey)> = allowed
+            .iter()
+            .filter_map(|&key| {
+                let seat = self.seats.get(&key)?;
+                what.room
+                    .fits(&seat.capacity)
+                    .then_some((seat.free.cpu, key))
+            })
+            .collect();
+        closest.sort_unstable_by(|a, b| b.cmp(a));
+        let mut left = count;
+        for (_, key) in closest {
+            if left == 0 {
+                return;
+            }
+            let seat = self.seats.get_mut(&key).expect("listed above");
+            let each = seat.capacity.cpu / what.room.cpu.max(1);
+            let here = usize::try_from(each).unwrap_or(1).clamp(1, left);
+            // Urgent work may still take the room.
+            seat.free_later -= what.room.times(here as i64);
+            left -= here;
+        }
+    }
+}
+
+// Lower is better: the room left over, and what makes the worker a bad choice.
+fn cost(seat: &Seat, what: &Candidate) -> f64 {
+    let left = (seat.free.cpu - what.room.cpu) as f64;
+    let far = match what.data_rack {
+        Some(rack) if rack != seat.rack => (what.far - 1.0).max(0.0) * FAR_COST,
+        _ => 0.0,
+    };
+    let slow = (seat.slowness - 1.0).max(0.0) * SLOW_COST;
+    left + far + slow + f64::from(seat.failures) * FAILURE_COST
+}
--- /dev/null
+++ b/src/core/plane/lead/plan.rs
@@ -0,0 +1,475 @@
+//! One round of planning: which waiting steps start where.
+
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use super::io::Effect;
+use super::order::{Age, Rank, rank};
+use super::permits::named_count;
+use super::place::{Candidate, Seat, Seats};
+use super::{Lead, Now};
+use crate::core::plane::job::{Job, Phase, StepSpec};
+use crate::core::plane::plan::{Permission, Queue};
+use crate::core::plane::state::{Start, State};
+use crate::core::plane::types::{Amount, StepName, TaskName, WorkerKey};
+use crate::core::share::{Claimant, divide};
+
+/// Steps for which room is kept in one round. More would keep the fleet idle.
+const KEEP_MAX: usize = 4;
+/// Room for urgent work on top of its recent peak.
+const URGENT_MARGIN: f64 = 1.2;
+/// Largest part of a worker that is kept for urgent work.
+const URGENT_SHARE_MAX: f64 = 0.25;
+/// Part of the peak of urgent work that is forgotten in a round: half in some ten
+/// seconds at 50 rounds a second.
+const URGENT_DECAY: f64 = 0.0014;
+/// Workers named again beside those that are needed, in case some fill up.
+const SPARE_NAMED: usize = 2;
+
+struct Waiting {
+    rank: Rank,
+    step: StepName,
+    count: usize,
+}
+
+impl Lead {
+    pub(super) fn plan(&mut self, now: Now, state: &State) -> Vec<Start> {
+        let mut waiting = self.waiting_steps(now, state);
+        if waiting.is_empty() {
+            return Vec::new();
+        }
+        waiting.sort_unstable_by_key(|w| (w.rank, w.step));
+        let mut racks = HashMap::new();
+        let mut seats = self.seats(now, state, &mut racks);
+        let mut kept = 0;
+        let mut starts = Vec::new();
+        for step in waiting {
+            self.plan_step(
+                now,
+                state,
+                &step,
+                &racks,
+                &mut seats,
+                &mut kept,
+                &mut starts,
+            );
+        }
+        starts
+    }
+
+    fn waiting_steps(&self, now: Now, state: &State) -> Vec<Waiting> {
+        let over = over_share(state);
+        let mut waiting = Vec::new();
+        for id in &state.open {
+            let job = &state.jobs[id];
+            let queue = state.queue(job.queue);
+            let over_share = job.account.is_some_and(|a| over[a.0 as usize]);
+            for (k, steps) in job.occurrences.iter().enumerate() {
+                let due_ms = job.submission.due_ms(k as u32);
+                if due_ms.is_some_and(|due| due > now.wall_ms) {
+                    break;
+                }
+                for (at, step) in steps.iter().enumerate() {
+                    let name = StepName {
+                        job: *id,
+                        occurrence: k as u32,
+                        step: at as u16,
+                    };
+                    let placing = self.placing_steps.get(&name).copied().unwrap_or(0);
+                    let count = step.waiting().saturating_sub(usize::from(placing));
+                    if count == 0 || step.breaking || !job.is_unblocked(k, at) {
+                        continue;
+                    }
+                    let rank = self.rank(now, job, queue, k, due_ms, over_share);
+                    waiting.push(Waiting {
+                        rank,
+                        step: name,
+                        count,
+                    });
+                }
+            }
+        }
+        waiting
+    }
+
+    fn rank(
+        &self,
+        now: Now,
+        job: &Job,
+        queue: &Queue,
+        occurrence: usize,
+        due_ms: Option<u64>,
+        over_share: bool,
+    ) -> Rank {
+        let ratio = self.ratio(&queue.name);
+        let age = Age {
+            since_ms: due_ms.unwrap_or(job.accepted_ms),
+            chain_ms: job.chain_ms(occurrence, true) as f64 * ratio,
+            left_ms: job.chain_ms(occurrence, false) as f64 * ratio,
+            stretch: queue.stretch,
+            goal_ms: queue.goal_ms,
+        };
+        rank(now.wall_ms, age, queue.priority, over_share)
+    }
+
+    fn seats(&mut self, now: Now, state: &State, racks: &mut HashMap<String, u32>) -> Seats {
+        let urgent: i64 = self
+            .channels
+            .values()
+            .flat_map(|c| c.live.values())
+            .map(|live| live.urgent_cpu)
+            .sum();
+        self.urgent_use = (self.urgent_use * (1.0 - URGENT_DECAY)).max(urgent as f64);
+        let usable: Vec<WorkerKey> = self
+            .channels
+            .iter()
+            .filter(|(_, channel)| channel.is_usable(now.at))
+            .map(|(&key, _)| key)
+            .filter(|&key| {
+                let worker = state.worker(key);
+                !worker.gone && !worker.report.draining
+            })
+            .collect();
+        let each = self.urgent_use * URGENT_MARGIN / usable.len().max(1) as f64;
+        let mut seats = Seats::default();
+        for key in usable {
+            let channel = &self.channels[&key];
+            let worker = state.worker(key);
+            let next = racks.len() as u32;
+            let rack = worker.rack().unwrap_or_default();
+            let rack = *racks.entry(rack.to_owned()).or_insert(next);
+            let capacity = worker.report.capacity;
+            let free = capacity - worker.used - channel.reserved;
+            let used: i64 = channel.live.values().map(|live| live.urgent_cpu).sum();
+            let kept = each.min(capacity.cpu as f64 * URGENT_SHARE_MAX) as i64 - used;
+            let mut free_later = free;
+            free_later.cpu -= kept.max(0);
+            let has = |f: fn(&StepSpec) -> bool| {
+                worker.runs.keys().any(|task| {
+                    let job = state.jobs.get(&task.step.job);
+                    job.and_then(|j| j.step(task.step))
+                        .is_some_and(|(s, _)| f(s))
+                })
+            };
+            let lasting = state.plan.services.len() > 1 || has(|s| s.lasting || s.filling);
+            let seat = Seat {
+                capacity,
+                free,
+                free_later,
+                rack,
+                slowness: channel.slowness,
+                failures: channel.failures,
+                serving: lasting && has(|s| s.target_ms > 0),
+                filling: lasting && has(|s| s.filling),
+            };
+            seats.add(key, seat);
+        }
+        seats
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the state of one round")]
+    fn plan_step(
+        &mut self,
+        now: Now,
+        state: &State,
+        waiting: &Waiting,
+        racks: &HashMap<String, u32>,
+        seats: &mut Seats,
+        kept: &mut usize,
+        starts: &mut Vec<Start>,
+    ) {
+        let name = waiting.step;
+        let job = &state.jobs[&name.job];
+        let Some((spec, _)) = job.step(name) else {
+            return;
+        };
+        let queue = state.queue(job.queue);
+        let what = candidate(spec, queue, racks, self.bounds.far);
+        let eligible = eligible(state, seats, job, spec);
+        let allowed = match queue.permission {
+            None => eligible.clone(),
+            Some(_) => self.permitted(now, name, &eligible),
+        };
+        let count = self.within_cap(state, job, spec, waiting.count);
+        let present = self.present(state, name, spec);
+        let found = seats.find(&what, count, &allowed, &present);
+        let whole = found.len() == waiting.count;
+        if !spec.gang || whole {
+            self.start_tasks(state, name, &found, &what, seats, starts);
+        }
+        if whole || count == 0 {
+            return;
+        }
+        let placed = if spec.gang { 0 } else { found.len() };
+        if let Some(terms) = queue.permission {
+            self.ask_more(now, state, waiting, &what, terms, &eligible, seats, placed);
+        }
+        if spec.gang && *kept < KEEP_MAX && waiting.rank.lateness < 2 {
+            *kept += 1;
+            let likely = self.known_good(name, &eligible).unwrap_or(eligible);
+            seats.keep(&what, waiting.count, &likely);
+        }
+    }
+
+    // Workers with a permit that is valid now.
+    fn permitted(&self, now: Now, step: StepName, eligible: &[WorkerKey]) -> Vec<WorkerKey> {
+        eligible
+            .iter()
+            .copied()
+            .filter(|&key| self.permits.valid(now.at, step, key).is_some())
+            .collect()
+    }
+
+    fn known_good(&self, step: StepName, eligible: &[WorkerKey]) -> Option<Vec<WorkerKey>> {
+        let known = self.permits.known(step)?;
+        let good: Vec<WorkerKey> = eligible
+            .iter()
+            .copied()
+            .filter(|key| known.good.contains_key(key))
+            .collect();
+        (!good.is_empty()).then_some(good)
+    }
+
+    // Asks for permits: first for a sample of all workers, then again for those that
+    // are known to be good and have room, then for workers not named yet.
+    #[expect(clippy::too_many_arguments, reason = "the state of one round")]
+    fn ask_more(
+        &mut self,
+        now: Now,
+        state: &State,
+        waiting: &Waiting,
+        what: &Candidate,
+        terms: Permission,
+        eligible: &[WorkerKey],
+        seats: &Seats,
+        placed: usize,
+    ) {
+        let step = waiting.step;
+        let most = named_count(terms);
+        let mut named: Vec<WorkerKey> = match self.permits.known(step) {
+            Some(known) if known.asking => return,
+            Some(known) if !known.good.is_empty() || !known.bad.is_empty() => {
+                let good: Vec<WorkerKey> = eligible
+                    .iter()
+                    .copied()
+                    .filter(|key| known.good.contains_key(key))
+                    .collect();
+                let none = HashMap::new();
+                let mut fitting = seats.find(what, waiting.count - placed, &good, &none);
+                fitting.sort_unstable();
+                fitting.dedup();
+                let is_whole = !what_needs_all(state, step) || !fitting.is_empty();
+                let lapsed = |key: &WorkerKey| self.permits.valid(now.at, step, *key).is_none();
+                if is_whole && fitting.iter().any(lapsed) {
+                    let more = good.iter().copied().filter(|k| !fitting.contains(k));
+                    let spare: Vec<WorkerKey> = more.take(SPARE_NAMED).collect();
+                    fitting.extend(spare);
+                    fitting
+                } else {
+                    let is_new = |key: &&WorkerKey| {
+                        !known.good.contains_key(key) && !known.bad.contains(key)
+                    };
+                    eligible.iter().filter(is_new).copied().collect()
+                }
+            }
+            _ => eligible.to_vec(),
+        };
+        if named.len() > most {
+            // A different sample for each step spreads the load, and workers with
+            // room come first.
+            let has_room = |key: &WorkerKey| {
+                let free = seats.get(*key).map(|seat| seat.free);
+                free.is_some_and(|free| what.room.fits(&free))
+            };
+            named.sort_by_cached_key(|key| {
+                let mut hasher = DefaultHasher::new();
+                (step, key).hash(&mut hasher);
+                (!has_room(key), hasher.finish())
+            });
+            named.truncate(most);
+        }
+        let ids = Self::worker_ids(state, &named);
+        let number = self.number();
+        if let Some((asker, question)) = self.permits.ask(now.at, number, step, terms, ids) {
+            self.effects.push(Effect::Ask(asker, question));
+        }
+    }
+
+    // How many of `count` tasks the account's cap leaves room for.
+    fn within_cap(&self, state: &State, job: &Job, spec: &StepSpec, count: usize) -> usize {
+        let Some(key) = job.account else {
+            return count;
+        };
+        let cap = state.accounts[key.0 as usize].cap;
+        let planned = self.placing_use.get(&key.0).copied().unwrap_or_default();
+        let used = state.account_use[key.0 as usize] + planned;
+        let fits = |n: &usize| (used + spec.need.times(*n as i64)).is_within_cap(&cap);
+        if spec.gang {
+            return if fits(&count) { count } else { 0 };
+        }
+        (0..=count).rev().find(fits).unwrap_or(0)
+    }
+
+    // How many tasks of a step each worker has, where that is limited.
+    fn present(&self, state: &State, name: StepName, spec: &StepSpec) -> HashMap<WorkerKey, u16> {
+        let mut present = HashMap::new();
+        if spec.most_per_worker == 0 {
+            return present;
+        }
+        let Some((_, step)) = state.jobs[&name.job].step(name) else {
+            return present;
+        };
+        for task in &step.tasks {
+            if let Phase::Placed(worker) = task.phase {
+                *present.entry(worker).or_insert(0) += 1;
+            }
+        }
+        for (task, worker) in &self.placing {
+            if task.step == name {
+                *present.entry(*worker).or_insert(0) += 1;
+            }
+        }
+        present
+    }
+
+    fn start_tasks(
+        &mut self,
+        state: &State,
+        name: StepName,
+        found: &[WorkerKey],
+        what: &Candidate,
+        seats: &mut Seats,
+        starts: &mut Vec<Start>,
+    ) {
+        let job = &state.jobs[&name.job];
+        let Some((spec, step)) = job.step(name) else {
+            return;
+        };
+        let common = step.tasks.iter().map(|t| t.run).max().unwrap_or(0) + 1;
+        let indexes = (0_u16..).zip(&step.tasks).filter(|(index, task)| {
+            let task_name = TaskName {
+                step: name,
+                index: *index,
+            };
+            task.phase == Phase::Waiting && !self.placing.contains_key(&task_name)
+        });
+        let pairs: Vec<(u16, u32, WorkerKey)> = indexes
+            .zip(found)
+            .map(|((index, task), &worker)| {
+                let run = if spec.gang { common } else { task.run + 1 };
+                (index, run, worker)
+            })
+            .collect();
+        for (index, run, worker) in pairs {
+            seats.take(worker, what);
+            let task = TaskName { step: name, index };
+            self.reserve(
+                task,
+                worker,
+                spec.room(),
+                spec.need,
+                job.account.map(|a| a.0),
+            );
+            starts.push(Start { task, run, worker });
+        }
+    }
+
+    fn reserve(
+        &mut self,
+        task: TaskName,
+        worker: WorkerKey,
+        room: Amount,
+        need: Amount,
+        account: Option<u32>,
+    ) {
+        self.placing.insert(task, worker);
+        self.reservations.insert(task, (room, need, account));
+        *self.placing_steps.entry(task.step).or_insert(0) += 1;
+        if let Some(channel) = self.channels.get_mut(&worker) {
+            channel.reserved += room;
+        }
+        if let Some(account) = account {
+            *self.placing_use.entry(account).or_default() += need;
+        }
+    }
+
+    /// Undoes [`Lead::reserve`] once a start is committed.
+    pub(super) fn unreserve(&mut self, task: TaskName) {
+        let Some(worker) = self.placing.remove(&task) else {
+            return;
+        };
+        if let Some(count) = self.placing_steps.get_mut(&task.step) {
+            *count -= 1;
+            if *count == 0 {
+                self.placing_steps.remove(&task.step);
+            }
+        }
+        let reservation = self.reservations.remove(&task);
+        let Some((room, need, account)) = reservation else {
+            return;
+        };
+        if let Some(channel) = self.channels.get_mut(&worker) {
+            channel.reserved -= room;
+        }
+        if let Some(account) = account
+            && let Some(used) = self.placing_use.get_mut(&account)
+        {
+            *used -= need;
+        }
+    }
+}
+
+fn what_needs_all(state: &State, step: StepName) -> bool {
+    let job = &state.jobs[&step.job];
+    job.step(step).is_some_and(|(spec, _)| spec.gang)
+}
+
+fn candidate(spec: &StepSpec, queue: &Queue, racks: &HashMap<String, u32>, far: f64) -> Candidate {
+    Candidate {
+        room: spec.room(),
+        urgent: queue.priority == 0,
+        data_rack: spec.data_rack.as_ref().and_then(|r| racks.get(r).copied()),
+        far,
+        most: (spec.most_per_worker > 0).then_some(spec.most_per_worker),
+        one_rack: spec.gang && spec.rack_sensitive,
+        serving: spec.target_ms > 0,
+        filling: spec.filling,
+    }
+}
+
+fn eligible(state: &State, seats: &Seats, job: &Job, spec: &StepSpec) -> Vec<WorkerKey> {
+    let service = state.service_of(job.queue);
+    seats
+        .iter()
+        .filter(|(key, seat)| {
+            let report = &state.worker(*key).report;
+            let has_label = |label: &String| report.labels.contains(label);
+            report.service == service
+                && spec.label.as_ref().is_none_or(has_label)
+                && spec.room().fits(&seat.capacity)
+        })
+        .map(|(key, _)| key)
+        .collect()
+}
+
+// Accounts that use more than their weighted share of the processors in use.
+fn over_share(state: &State) -> Vec<bool> {
+    let used: Vec<f64> = state.account_use.iter().map(|u| u.cpu as f64).collect();
+    let total: f64 = used.iter().sum();
+    let claimants: Vec<Claimant> = state
+        .accounts
+        .iter()
+        .map(|account| Claimant {
+            weight: account.weight.max(1) as f64,
+            demand: f64::INFINITY,
+        })
+        .collect();
+    if claimants.is_empty() {
+        return Vec::new();
+    }
+    let due = divide(total, &claimants);
+    used.iter()
+        .zip(due)
+        .map(|(used, due)| *used > due)
+        .collect()
+}
--- /dev/null
+++ b/src/core/plane/lead/requests.rs
@@ -0,0 +1,249 @@
+//! Questions of callers, workers and operators.
+
+use super::io::{Action, Answer, Call, Effect, Note, Query, Refusal, Request};
+use super::{Lead, Now};
+use crate::core::plane::job::{Standing, Submission};
+use crate::core::plane::plan::Queue;
+use crate::core::plane::state::{Command, State};
+use crate::core::plane::types::{JobId, WorkerKey};
+use crate::core::plane::worker::Report;
+
+/// When a caller may come back that came before the first configuration, in
+/// milliseconds. The operator sends it again within about a second.
+const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
+/// Open jobs above which new ones are refused, so that the state stays within a
+/// quarter of a control instance's memory at some 2 KB a job.
+const OPEN_JOBS_MAX: usize = 30_000;
+/// When a caller may come back that was refused because of too many open jobs, in
+/// milliseconds.
+const OVERLOAD_RETRY_MS: u64 = 2_000;
+
+impl Lead {
+    pub(super) fn take_query(&mut self, now: Now, state: &State, call: Call, query: Query) {
+        match query {
+            Query::Request(request) => self.take_request(now, state, call, *request),
+            Query::Report(report) => self.take_report(now, state, call, *report),
+            Query::Depart(id) => self.take_departure(now, state, call, &id),
+            Query::Configure { plan, document } => {
+                if let Err(err) = plan.check() {
+                    let path = format!("configuration {}", plan.version);
+                    self.note_refusal(state, path, err.to_string());
+                    self.answer(call, Answer::Malformed(err.to_string()));
+                    return;
+                }
+                if plan.version <= state.plan.version {
+                    self.answer(call, Answer::Done);
+                    return;
+                }
+                let command = Command::Configure { plan, document };
+                self.propose(command, vec![(call, Answer::Done)]);
+            }
+            Query::Configuration => {
+                let answer = if state.plan.version == 0 {
+                    no_configuration()
+                } else {
+                    Answer::Configuration(state.document.clone())
+                };
+                self.answer(call, answer);
+            }
+        }
+    }
+
+    fn take_request(&mut self, now: Now, state: &State, call: Call, request: Request) {
+        if state.plan.version == 0 {
+            self.refuse(state, call, &request, no_configuration());
+            return;
+        }
+        let Some(queue) = state.plan.queue_at(&request.host, &request.path) else {
+            self.refuse(state, call, &request, Answer::NotFound);
+            return;
+        };
+        let account = request
+            .key
+            .as_deref()
+            .and_then(|key| state.plan.account_of(key))
+            .map(|account| account.name.clone());
+        if account.is_none() && !queue.open {
+            self.refuse(state, call, &request, Answer::Unauthorized);
+            return;
+        }
+        let tail = &request.path[queue.prefix.len()..];
+        if tail.is_empty() {
+            let answer = match request.action {
+                Action::Show => Answer::Pending(pending(state, queue)),
+                _ => Answer::Malformed("a job id is missing".to_owned()),
+            };
+            self.answer(call, answer);
+            return;
+        }
+        let id = match tail.parse::<JobId>() {
+            Ok(id) => id,
+            Err(err) => {
+                self.refuse(state, call, &request, Answer::Malformed(err));
+                return;
+            }
+        };
+        match request.action {
+            Action::Submit(submission) => {
+                let submission = Submission { id, ..*submission };
+                self.submit(now, state, call, submission, queue, account);
+            }
+            Action::Show => self.answer(call, standing_of(state, id)),
+            Action::Cancel => self.cancel(now, state, call, id),
+        }
+    }
+
+    fn submit(
+        &mut self,
+        now: Now,
+        state: &State,
+        call: Call,
+        submission: Submission,
+        queue: &Queue,
+        account: Option<String>,
+    ) {
+        let id = submission.id;
+        let repeated = state.jobs.contains_key(&id);
+        self.note(Note::JobAccepted {
+            job: super::io::job_text(id),
+            queue: queue.name.clone(),
+            account: account.clone(),
+            repeated: repeated || self.submitting.contains_key(&id),
+            version: state.plan.version,
+        });
+        if repeated {
+            self.answer(call, Answer::Done);
+            return;
+        }
+        if let Err(err) = submission.check() {
+            self.note_refusal(state, super::io::job_text(id), err.clone());
+            self.answer(call, Answer::Malformed(err));
+            return;
+        }
+        if state.open.len() >= OPEN_JOBS_MAX && !self.submitting.contains_key(&id) {
+            let answer = Answer::Unavailable {
+                retry_ms: OVERLOAD_RETRY_MS,
+                why: Refusal::Overloaded,
+            };
+            self.note_refusal(state, super::io::job_text(id), "too many open jobs".into());
+            self.answer(call, answer);
+            return;
+        }
+        self.submitting.entry(id).or_default().push(call);
+        let command = Command::Submit {
+            submission: Box::new(submission),
+            queue: queue.name.clone(),
+            account,
+            at_ms: now.wall_ms,
+        };
+        self.propose(command, vec![(call, Answer::Done)]);
+    }
+
+    fn cancel(&mut self, now: Now, state: &State, call: Call, id: JobId) {
+        let is_open = self.submitting.contains_key(&id) || state.open.contains(&id);
+        if !is_open {
+            let answer = match state.jobs.get(&id) {
+                Some(_) => Answer::Done,
+                None => Answer::Gone,
+            };
+            self.answer(call, answer);
+            return;
+        }
+        self.note(Note::JobCancelled {
+            job: super::io::job_text(id),
+        });
+        self.cancelling.insert(id);
+        let command = Command::Cancel {
+            job: id,
+            at_ms: now.wall_ms,
+        };
+        self.propose(command, vec![(call, Answer::Done)]);
+    }
+
+    fn take_report(&mut self, now: Now, state: &State, call: Call, report: Report) {
+        let known = state.worker_keys.get(&report.id).copied();
+        if let Some(key) = known {
+            let worker = state.worker(key);
+            let same_life = worker.report.born_ms == report.born_ms;
+            let is_stale = !same_life && !report.is_later(&worker.report)
+                || same_life && report.sequence < worker.report.sequence;
+            let is_news = !(worker.gone || same_life && report.says_same(&worker.report));
+            if let Some(channel) = self.channels.get_mut(&key)
+                && same_life
+            {
+                channel.reported_at = now.at;
+            }
+            if is_stale || same_life && !is_news {
+                self.answer(call, Answer::Done);
+                return;
+            }
+        }
+        self.note(Note::WorkerChanged {
+            worker: report.id.clone(),
+            born_ms: report.born_ms,
+            draining: report.draining,
+        });
+        let command = Command::Register(Box::new(report));
+        self.propose(command, vec![(call, Answer::Done)]);
+    }
+
+    fn take_departure(&mut self, now: Now, state: &State, call: Call, id: &str) {
+        if let Some(key) = state.worker_keys.get(id)
+            && let Some(channel) = self.channels.get_mut(key)
+        {
+            channel.departing.get_or_insert(now.at);
+            self.note(Note::WorkerGone {
+                worker: id.to_owned(),
+                by: "its own word",
+            });
+        }
+        self.answer(call, Answer::Done);
+    }
+
+    pub(super) fn propose(&mut self, command: Command, answers: Vec<(Call, Answer)>) {
+        self.effects.push(Effect::Propose(command, answers));
+    }
+
+    pub(super) fn answer(&mut self, call: Call, answer: Answer) {
+        self.effects.push(Effect::Answer(call, answer));
+    }
+
+    fn refuse(&mut self, state: &State, call: Call, request: &Request, answer: Answer) {
+        self.note_refusal(state, request.path.clone(), format!("{answer:?}"));
+        self.answer(call, answer);
+    }
+
+    fn note_refusal(&mut self, state: &State, path: String, why: String) {
+        let version = state.plan.version;
+        self.note(Note::Refused { path, why, version });
+    }
+
+    /// Returns the ids of workers by key, for a question to the permission service.
+    pub(super) fn worker_ids(state: &State, keys: &[WorkerKey]) -> Vec<(WorkerKey, String)> {
+        keys.iter()
+            .map(|&key| (key, state.worker(key).report.id.clone()))
+            .collect()
+    }
+}
+
+const fn no_configuration() -> Answer {
+    Answer::Unavailable {
+        retry_ms: NO_CONFIGURATION_RETRY_MS,
+        why: Refusal::NoConfiguration,
+    }
+}
+
+fn standing_of(state: &State, id: JobId) -> Answer {
+    match state.jobs.get(&id) {
+        Some(job) => Answer::Standing(job.standing),
+        None => Answer::Gone,
+    }
+}
+
+fn pending(state: &State, queue: &Queue) -> u64 {
+    let is_pending = |id: &&JobId| {
+        let job = &state.jobs[id];
+        job.standing == Standing::Queued && state.queue(job.queue).name == queue.name
+    };
+    state.open.iter().filter(is_pending).count() as u64
+}
--- /dev/null
+++ b/src/core/plane/lead/workers.rs
@@ -0,0 +1,701 @@
+//! Orders to workers and what they answer.
+
+use std::time::Duration;
+
+use super::channel::{Channel, Live};
+use super::io::{Declined, Effect, EndRow, Lists, Note, Order, Reply, RunningRow, Sent, Work};
+use super::{Lead, Now};
+use crate::core::plane::job::{Phase, Standing};
+use crate::core::plane::state::{Command, End, Start, State};
+use crate::core::plane::types::{How, TaskName, WorkerKey};
+use crate::core::time::Moment;
+
+/// Longest time that a look waits for an end. Each look lengthens the lease, so
+/// that a worker that is cut off keeps its runs for the lease less this.
+const LOOK_WAIT: Duration = Duration::from_millis(800);
+/// Time for an answer on top of what the worker may wait: a hundred round trips.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+/// Pause before a worker that did not answer is looked at again.
+const LOOK_RETRY: Duration = Duration::from_millis(250);
+/// Delay of the first look after a start, so that starts in a row share it.
+const LOOK_AFTER_START: Duration = Duration::from_millis(60);
+/// Delay of a look that only tells which ends are stored.
+const TELL_SEEN_AFTER: Duration = Duration::from_millis(40);
+/// A stop without an answer is repeated after this.
+const STOP_RETRY: Duration = Duration::from_millis(400);
+/// A worker that said that it ends is gone after this.
+const DEPART_AFTER: Duration = Duration::from_millis(400);
+/// A run without progress for this long is started elsewhere. Workers tell progress
+/// in whole percents, so that longer runs get longer.
+const STUCK_MIN: Duration = Duration::from_millis(2_500);
+/// Part of the expected run time that a run may be without progress.
+const STUCK_SHARE: f64 = 0.25;
+/// Ends that one list holds at most.
+const ENDS_MAX: usize = 500;
+
+impl Lead {
+    pub(super) fn tick_workers(&mut self, now: Now, state: &State) {
+        let keys: Vec<WorkerKey> = self.channels.keys().copied().collect();
+        for key in keys {
+            let worker = state.worker(key);
+            let channel = self.channels.get_mut(&key).expect("listed above");
+            if worker.gone && channel.live.is_empty() {
+                self.channels.remove(&key);
+                continue;
+            }
+            let departs = channel
+                .departing
+                .is_some_and(|at| now.at.since(at) > DEPART_AFTER);
+            if departs && !worker.gone {
+                channel.departing = Some(now.at + Duration::from_secs(2));
+                self.propose(Command::Depart(key), Vec::new());
+                continue;
+            }
+            let unheard = !channel.adopted || channel.unanswered_since.is_some();
+            if unheard && !channel.live.is_empty() && channel.has_lapsed(now.at) {
+                self.void_all(key, state, "a lapsed lease");
+            }
+            let channel = self.channels.get_mut(&key).expect("still there");
+            if channel.look.is_none() && now.at >= channel.look_at && !worker.gone {
+                self.look(now, state, key);
+            }
+            self.tick_runs(now, state, key);
+        }
+        self.permits.retain(|step| state.open.contains(&step.job));
+    }
+
+    fn tick_runs(&mut self, now: Now, state: &State, key: WorkerKey) {
+        let channel = &self.channels[&key];
+        let mut stops = Vec::new();
+        for (&task, live) in &channel.live {
+            if live.ending {
+                continue;
+            }
+            let unanswered = live.stopped_at.is_none()
+                && live.stop_at.is_some_and(|at| now.at.since(at) > STOP_RETRY);
+            if unanswered {
+                stops.push((task, live.run, "no answer to its stop"));
+            } else if live.stop_at.is_none() && self.is_stuck(now, state, task, live) {
+                stops.push((task, live.run, "no progress"));
+            }
+        }
+        for (task, run, why) in stops {
+            self.stop(now, state, key, task, run, why);
+        }
+    }
+
+    fn is_stuck(&self, now: Now, state: &State, task: TaskName, live: &Live) -> bool {
+        let Some((percent, since)) = live.progress else {
+            return false;
+        };
+        let Some((spec, _, _)) = state.jobs.get(&task.step.job).and_then(|j| j.task(task)) else {
+            return false;
+        };
+        if spec.lasting || spec.filling || percent >= 100 {
+            return false;
+        }
+        let expected = Duration::from_millis((spec.estimate_ms as f64 * STUCK_SHARE) as u64);
+        now.at.since(since) > STUCK_MIN.max(expected)
+    }
+
+    fn order(&mut self, now: Now, state: &State, key: WorkerKey, sent: Sent, work: Work) -> u64 {
+        let number = self.number();
+        let wait = match &work {
+            Work::Look { wait, .. } => *wait,
+            _ => Duration::ZERO,
+        };
+        let report = &state.worker(key).report;
+        let order = Order {
+            number,
+            worker: report.id.clone(),
+            address: report.address.clone(),
+            fence: self.fence,
+            timeout: wait + ANSWER_TIMEOUT,
+            task: work,
+        };
+        self.sent.insert(number, Sent { at: now.at, ..sent });
+        self.effects.push(Effect::Order(order));
+        number
+    }
+
+    fn look(&mut self, now: Now, state: &State, key: WorkerKey) {
+        let hold = self.bounds.hold;
+        let channel = self.channels.get_mut(&key).expect("known worker");
+        // A worker that does not answer may hear all the same. Its lease is not
+        // lengthened, so that its runs lapse and can start elsewhere.
+        let until = if channel.is_silent(now.at) || channel.live.is_empty() {
+            None
+        } else {
+            channel.lease_end(now.at, hold)
+        };
+        let is_idle = channel.live.is_empty();
+        let wait = if channel.adopted && !is_idle && channel.unanswered_since.is_none() {
+            LOOK_WAIT
+        } else {
+            Duration::ZERO
+        };
+        let seen = channel.seen;
+        let sent = Sent {
+            worker: key,
+            run: None,
+            is_start: false,
+            at: now.at,
+        };
+        let number = self.order(now, state, key, sent, Work::Look { until, seen, wait });
+        let channel = self.channels.get_mut(&key).expect("known worker");
+        channel.look = Some(number);
+        channel.told_seen = seen;
+    }
+
+    pub(super) fn started(&mut self, now: Now, state: &State, start: Start) {
+        let Start { task, run, worker } = start;
+        self.unreserve(task);
+        let place = state.worker(worker);
+        let Some(record) = place.runs.get(&task).filter(|r| r.run == run) else {
+            return;
+        };
+        let Some(channel) = self.channels.get_mut(&worker) else {
+            return;
+        };
+        let mut live = Live {
+            run,
+            ordered_at: now.at,
+            ..Live::default()
+        };
+        let job = &state.jobs[&task.step.job];
+        if !job.standing.is_final() && state.queue(job.queue).priority == 0 {
+            live.urgent_cpu = record.room.cpu;
+        }
+        channel.live.insert(task, live);
+        let wanted = state.is_wanted(worker, task, run);
+        let until = channel.lease_end(now.at, self.bounds.hold);
+        let (Some(until), true, false) = (until, wanted, place.gone) else {
+            self.void(worker, task, run, "not sent");
+            return;
+        };
+        if channel.look.is_none() {
+            channel.look_at = channel.look_at.min(now.at + LOOK_AFTER_START);
+        }
+        let (_, _, found) = job.task(task).expect("wanted task");
+        let work = Work::Start {
+            task,
+            run,
+            text: job.submission.text.clone(),
+            until,
+            checkpoint: found.checkpoint.clone(),
+            permit: self
+                .permits
+                .known(task.step)
+                .and_then(|known| known.good.get(&worker))
+                .map(|permit| permit.text.clone()),
+        };
+        self.note(Note::Placed {
+            task: task.to_string(),
+            run,
+            worker: place.report.id.clone(),
+            waited_ms: now.wall_ms.saturating_sub(job.accepted_ms),
+        });
+        let sent = Sent {
+            worker,
+            run: Some((task, run)),
+            is_start: true,
+            at: now.at,
+        };
+        self.order(now, state, worker, sent, work);
+    }
+
+    fn stop(
+        &mut self,
+        now: Now,
+        state: &State,
+        key: WorkerKey,
+        task: TaskName,
+        run: u32,
+        why: &'static str,
+    ) {
+        if let Some(channel) = self.channels.get_mut(&key)
+            && let Some(live) = channel.live.get_mut(&task).filter(|l| l.run == run)
+        {
+            live.stop_at = Some(now.at);
+        }
+        self.note(Note::Stopping {
+            task: task.to_string(),
+            run,
+            worker: state.worker(key).report.id.clone(),
+            why,
+        });
+        let sent = Sent {
+            worker: key,
+            run: Some((task, run)),
+            is_start: false,
+            at: now.at,
+        };
+        self.order(now, state, key, sent, Work::Stop { task, run });
+    }
+
+    /// Stops runs of jobs that were given up or failed, and of gangs that broke.
+    pub(super) fn stop_unwanted(&mut self, now: Now, state: &State) {
+        let mut stops = Vec::new();
+        for (&key, channel) in &self.channels {
+            for (&task, live) in &channel.live {
+                if live.ending || live.stop_at.is_some() {
+                    continue;
+                }
+                if !state.is_wanted(key, task, live.run) && !ends_by_itself(state, task) {
+                    stops.push((key, task, live.run));
+                }
+            }
+        }
+        for (key, task, run) in stops {
+            self.stop(now, state, key, task, run, "no longer wanted");
+        }
+    }
+
+    pub(super) fn take_reply(&mut self, now: Now, state: &State, number: u64, reply: Reply) {
+        let Some(sent) = self.sent.remove(&number) else {
+            return;
+        };
+        let key = sent.worker;
+        if !self.channels.contains_key(&key) {
+            return;
+        }
+        if let Reply::Replaced = reply {
+            self.replaced(now, key);
+            return;
+        }
+        match sent.run {
+            None => self.looked(now, state, number, sent, reply),
+            Some((task, run)) if sent.is_start => {
+                self.start_replied(now, state, sent, task, run, &reply);
+            }
+            Some((task, run)) => self.stop_replied(now, state, sent, task, run, &reply),
+        }
+    }
+
+    fn replaced(&mut self, now: Now, key: WorkerKey) {
+        let channel = self.channels.get_mut(&key).expect("known worker");
+        channel.adopted = false;
+        channel.look = None;
+        channel.look_at = now.at + Duration::from_secs(3_600);
+        self.propose(Command::Depart(key), Vec::new());
+    }
+
+    fn missed(&mut self, now: Now, state: &State, sent: Sent) {
+        let channel = self.channels.get_mut(&sent.worker).expect("known worker");
+        channel.miss(sent.at);
+        let silent_ms = now.at.since(channel.heard_at).as_millis() as u64;
+        self.note(Note::OrderLost {
+            worker: state.worker(sent.worker).report.id.clone(),
+            silent_ms,
+        });
+    }
+
+    fn start_replied(
+        &mut self,
+        now: Now,
+        state: &State,
+        sent: Sent,
+        task: TaskName,
+        run: u32,
+        reply: &Reply,
+    ) {
+        let key = sent.worker;
+        match reply {
+            Reply::Done(clock) => {
+                let channel = self.channels.get_mut(&key).expect("known worker");
+                channel.hear(now.at, *clock);
+                if let Some(live) = channel.live.get_mut(&task).filter(|l| l.run == run) {
+                    live.confirmed_at.get_or_insert(now.at);
+                }
+            }
+            Reply::Declined(why) => {
+                self.declined(now, state, key, task, *why);
+                self.void(key, task, run, "declined by its worker");
+            }
+            Reply::NotSent => self.void(key, task, run, "not sent"),
+            Reply::NoAnswer | Reply::Replaced | Reply::Lists(..) => {
+                self.missed(now, state, sent);
+                let channel = self.channels.get_mut(&key).expect("known worker");
+                if let Some(live) = channel.live.get_mut(&task).filter(|l| l.run == run) {
+                    live.in_doubt = true;
+                }
+                channel.look_at = channel.look_at.min(now.at);
+            }
+        }
+    }
+
+    fn declined(&mut self, now: Now, state: &State, key: WorkerKey, task: TaskName, why: Declined) {
+        let channel = self.channels.get_mut(&key).expect("known worker");
+        match why {
+            Declined::Permit => self.permits.revoke(task.step, key),
+            Declined::Unhealthy | Declined::Malformed => {
+                if let Some(wait) = channel.fail(now.at) {
+                    let failures = channel.failures;
+                    self.note_avoided(state, key, failures, wait);
+                }
+            }
+            Declined::Room | Declined::Late | Declined::Fence | Declined::Old => {
+                // What runs there or its clock is not what it was thought to be.
+                channel.avoid_until = channel.avoid_until.max(now.at + LOOK_RETRY);
+                channel.look_at = channel.look_at.min(now.at);
+            }
+        }
+    }
+
+    fn stop_replied(
+        &mut self,
+        now: Now,
+        state: &State,
+        sent: Sent,
+        task: TaskName,
+        run: u32,
+        reply: &Reply,
+    ) {
+        if matches!(reply, Reply::NoAnswer) {
+            self.missed(now, state, sent);
+            return;
+        }
+        let channel = self.channels.get_mut(&sent.worker).expect("known worker");
+        if let Reply::Done(clock) = reply {
+            channel.hear(now.at, *clock);
+            if let Some(live) = channel.live.get_mut(&task).filter(|l| l.run == run) {
+                live.stopped_at = Some(now.at);
+            }
+            if channel.look.is_none() {
+                channel.look_at = channel.look_at.min(now.at + self.bounds.stop);
+            }
+        }
+    }
+
+    fn looked(&mut self, now: Now, state: &State, number: u64, sent: Sent, reply: Reply) {
+        let key = sent.worker;
+        let channel = self.channels.get_mut(&key).expect("known worker");
+        if channel.look == Some(number) {
+            channel.look = None;
+        }
+        let Reply::Lists(clock, lists) = reply else {
+            channel.look_at = now.at + LOOK_RETRY;
+            if !matches!(reply, Reply::NotSent) {
+                self.missed(now, state, sent);
+            }
+            return;
+        };
+        let born_ms = state.worker(key).report.born_ms;
+        if lists.born_ms.is_some_and(|born| born != born_ms) {
+            self.replaced(now, key);
+            return;
+        }
+        channel.hear(now.at, clock);
+        let first = !channel.adopted;
+        channel.adopted = true;
+        if first {
+            let note = Note::WorkerAdopted {
+                worker: state.worker(key).report.id.clone(),
+                fence: self.fence,
+                running: lists.running.len(),
+            };
+            self.note(note);
+        }
+        self.take_lists(now, state, key, sent.at, first, &lists);
+        self.dirty = true;
+        self.schedule_look(now, key);
+    }
+
+    fn schedule_look(&mut self, now: Now, key: WorkerKey) {
+        let channel = self.channels.get_mut(&key).expect("known worker");
+        let is_storing = channel.live.values().any(|live| live.ending);
+        channel.look_at = if is_storing {
+            // Brought forward once the ends are stored.
+            now.at + ANSWER_TIMEOUT
+        } else if !channel.live.is_empty() {
+            now.at
+        } else if channel.seen > channel.told_seen {
+            now.at + TELL_SEEN_AFTER
+        } else {
+            now.at + Duration::from_secs(3_600)
+        };
+    }
+
+    fn take_lists(
+        &mut self,
+        now: Now,
+        state: &State,
+        key: WorkerKey,
+        sent_at: Moment,
+        first: bool,
+        lists: &Lists,
+    ) {
+        for row in &lists.running {
+            self.take_running(now, state, key, row);
+        }
+        for row in &lists.ended {
+            self.take_end(now, state, key, row);
+        }
+        if lists.ended.len() < ENDS_MAX {
+            self.take_absent(now, state, key, sent_at, first, lists);
+        }
+        self.advance_seen(now);
+    }
+
+    fn take_running(&mut self, now: Now, state: &State, key: WorkerKey, row: &RunningRow) {
+        let channel = self.channels.get_mut(&key).expect("known worker");
+        let live = channel.live.get_mut(&row.task);
+        let Some(live) = live.filter(|live| live.run == row.run) else {
+            self.stop(now, state, key, row.task, row.run, "not known here");
+            return;
+        };
+        live.listed = true;
+        live.in_doubt = false;
+        live.confirmed_at.get_or_insert(now.at);
+        match live.progress {
+            Some((percent, _)) if percent == row.percent => {}
+            _ => live.progress = Some((row.percent, now.at)),
+        }
+    }
+
+    fn take_end(&mut self, now: Now, state: &State, key: WorkerKey, row: &EndRow) {
+        let channel = self.channels.get_mut(&key).expect("known worker");
+        channel.proposed = channel.proposed.max(row.number);
+        let live = channel.live.get_mut(&row.task);
+        let Some(live) = live.filter(|live| live.run == row.run && !live.ending) else {
+            return;
+        };
+        live.ending = true;
+        let live = *live;
+        self.learn_from_end(now, state, key, row, &live);
+        self.note(Note::Ended {
+            task: row.task.to_string(),
+            run: row.run,
+            worker: state.worker(key).report.id.clone(),
+            how: row.how,
+            by: "its worker's list",
+        });
+        self.ends.push(End {
+            task: row.task,
+            run: row.run,
+            worker: key,
+            how: row.how,
+            checkpoint: row.checkpoint.clone(),
+        });
+    }
+
+    fn learn_from_end(
+        &mut self,
+        now: Now,
+        state: &State,
+        key: WorkerKey,
+        row: &EndRow,
+        live: &Live,
+    ) {
+        let Some(job) = state.jobs.get(&row.task.step.job) else {
+            return;
+        };
+        let Some((spec, _, task)) = job.task(row.task) else {
+            return;
+        };
+        let channel = self.channels.get_mut(&key).expect("known worker");
+        match row.how {
+            How::Done if !spec.lasting => {
+                let took = live
+                    .confirmed_at
+                    .map(|at| now.at.since(at).as_millis() as f64);
+                let queue = &state.queue(job.queue).name;
+                let estimate = spec.estimate_ms as f64;
+                let ratio = took.map(|took| took / estimate.max(1.0));
+                let whole = task.checkpoint.is_none();
+                if let Some(ratio) = ratio.filter(|_| whole && estimate > 0.0) {
+                    channel.succeed(ratio / self.ratios.get(queue).copied().unwrap_or(1.0));
+                    self.learn_ratio(queue, ratio);
+                } else {
+                    channel.succeed(1.0);
+                }
+            }
+            // A task that failed before is at fault itself, as far as anyone knows.
+            How::Failed if task.failed == 0 => {
+                if let Some(wait) = channel.fail(now.at) {
+                    let failures = channel.failures;
+                    self.note_avoided(state, key, failures, wait);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn note_avoided(&mut self, state: &State, key: WorkerKey, failures: u32, wait: Duration) {
+        self.note(Note::WorkerAvoided {
+            worker: state.worker(key).report.id.clone(),
+            failures,
+            for_ms: wait.as_millis() as u64,
+        });
+    }
+
+    // Runs that the worker neither has nor lists as ended.
+    fn take_absent(
+        &mut self,
+        now: Now,
+        state: &State,
+        key: WorkerKey,
+        sent_at: Moment,
+        first: bool,
+        lists: &Lists,
+    ) {
+        let channel = &self.channels[&key];
+        let before = |at: Option<Moment>| at.is_some_and(|at| at < sent_at);
+        let mut voids = Vec::new();
+        let mut stops = Vec::new();
+        for (&task, live) in &channel.live {
+            let is_listed = lists
+                .running
+                .iter()
+                .any(|r| r.task == task && r.run == live.run)
+                || lists
+                    .ended
+                    .iter()
+                    .any(|r| r.task == task && r.run == live.run);
+            if live.ending || is_listed {
+                continue;
+            }
+            // The first look of a term fences off whatever was ordered before it.
+            if first || before(live.confirmed_at) || before(live.stopped_at) {
+                voids.push((task, live.run));
+            } else if live.in_doubt && live.stop_at.is_none() {
+                stops.push((task, live.run));
+            }
+        }
+        for (task, run) in voids {
+            self.void(key, task, run, "its absence from its worker's list");
+        }
+        for (task, run) in stops {
+            self.stop(now, state, key, task, run, "no answer to its start");
+        }
+    }
+
+    /// Ends a run that is surely not on its worker.
+    fn void(&mut self, key: WorkerKey, task: TaskName, run: u32, by: &'static str) {
+        let Some(channel) = self.channels.get_mut(&key) else {
+            return;
+        };
+        let live = channel.live.get_mut(&task);
+        let Some(live) = live.filter(|live| live.run == run && !live.ending) else {
+            return;
+        };
+        live.ending = true;
+        self.ends.push(End {
+            task,
+            run,
+            worker: key,
+            how: How::Void,
+            checkpoint: None,
+        });
+        self.dirty = true;
+        self.note(Note::Ended {
+            task: task.to_string(),
+            run,
+            worker: format!("#{}", key.0),
+            how: How::Void,
+            by,
+        });
+    }
+
+    fn void_all(&mut self, key: WorkerKey, state: &State, by: &'static str) {
+        let channel = &self.channels[&key];
+        let runs: Vec<(TaskName, u32)> = channel
+            .live
+            .iter()
+            .filter(|(_, live)| !live.ending)
+            .map(|(&task, live)| (task, live.run))
+            .collect();
+        if runs.is_empty() {
+            return;
+        }
+        self.note(Note::WorkerGone {
+            worker: state.worker(key).report.id.clone(),
+            by,
+        });
+        for (task, run) in runs {
+            self.void(key, task, run, by);
+        }
+    }
+
+    pub(super) fn ended(&mut self, state: &State, end: &End) {
+        if state
+            .worker(end.worker)
+            .runs
+            .get(&end.task)
+            .is_some_and(|r| r.run == end.run)
+        {
+            return;
+        }
+        if let Some(channel) = self.channels.get_mut(&end.worker)
+            && channel
+                .live
+                .get(&end.task)
+                .is_some_and(|l| l.run == end.run)
+        {
+            channel.live.remove(&end.task);
+        }
+    }
+
+    /// Lets workers know which ends are stored.
+    pub(super) fn advance_seen(&mut self, now: Now) {
+        for channel in self.channels.values_mut() {
+            let is_storing = channel.live.values().any(|live| live.ending);
+            if is_storing || channel.seen >= channel.proposed {
+                continue;
+            }
+            channel.seen = channel.proposed;
+            let delay = if channel.live.is_empty() {
+                TELL_SEEN_AFTER
+            } else {
+                Duration::ZERO
+            };
+            channel.look_at = channel.look_at.min(now.at + delay);
+        }
+    }
+
+    pub(super) fn registered(&mut self, now: Now, state: &State, id: &str) {
+        let Some(&key) = state.worker_keys.get(id) else {
+            return;
+        };
+        let fresh = Channel::new(now.at, now.at);
+        self.channels.entry(key).or_insert(fresh);
+        let worker = state.worker(key);
+        let gone: Vec<WorkerKey> = state
+            .live_workers()
+            .filter(|(other, w)| {
+                let same_machine =
+                    w.report.machine.is_some() && w.report.machine == worker.report.machine;
+                *other != key && same_machine && worker.report.is_later(&w.report)
+            })
+            .map(|(other, _)| other)
+            .collect();
+        for other in gone {
+            self.propose(Command::Depart(other), Vec::new());
+        }
+        let ended: Vec<WorkerKey> = self
+            .channels
+            .keys()
+            .copied()
+            .filter(|&other| state.worker(other).gone)
+            .collect();
+        for other in ended {
+            self.void_all(other, state, "a later incarnation");
+        }
+    }
+
+    pub(super) fn departed(&mut self, _now: Now, state: &State, key: WorkerKey, by: &'static str) {
+        if self.channels.contains_key(&key) {
+            self.void_all(key, state, by);
+        }
+    }
+}
+
+// Members of a gang that is done end on their own.
+fn ends_by_itself(state: &State, task: TaskName) -> bool {
+    state.jobs.get(&task.step.job).is_none_or(|job| {
+        job.standing == Standing::Completed
+            || job
+                .task(task)
+                .is_some_and(|(_, _, found)| found.phase == Phase::Done)
+    })
+}
--- /dev/null
+++ b/src/core/roster.rs
@@ -0,0 +1,90 @@
+//! Which replicas should vote.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::core::consensus::Replica;
+use crate::core::time::Moment;
+use crate::wire::Voter;
+
+/// Entries that a spare may lag behind and still be promoted.
+const CAUGHT_UP_LAG: u64 = 64;
+/// A spare that was silent for longer is not promoted.
+const SPARE_SILENCE_MAX: Duration = Duration::from_millis(1_500);
+
+/// What the leader knows of a replica's instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Name of the instance.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+}
+
+/// How many replicas are to vote and when one is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wanted {
+    /// Voters, an odd number.
+    pub voters: usize,
+    /// A voter that was silent for longer is replaced.
+    pub replace_after: Duration,
+}
+
+/// Returns the next set of voters, or none if the present one should stay. It differs
+/// by one replica: a spare joins before the voter that it replaces leaves.
+///
+/// `places` tells of the instances that are linked now. A voter whose instance came
+/// back under the same name with another replica has lost its disk.
+pub fn next_voters(
+    now: Moment,
+    replica: &Replica,
+    places: &BTreeMap<u64, Place>,
+    wanted: Wanted,
+) -> Option<Vec<Voter>> {
+    let voters = replica.voters();
+    let is_voter = |id: u64| voters.iter().any(|v| v.replica == id);
+    let silent_for = |id: u64| {
+        let mut progress = replica.progress();
+        let found = progress.find(|(other, _)| *other == id);
+        found.map(|(_, p)| now.since(p.heard_at))
+    };
+    let has_lost_disk = |voter: &Voter| {
+        places
+            .iter()
+            .any(|(&id, place)| id != voter.replica && place.name == voter.name && !is_voter(id))
+    };
+    let is_lost = |voter: &&Voter| {
+        voter.replica != replica.id()
+            && (has_lost_disk(voter) && !places.contains_key(&voter.replica)
+                || silent_for(voter.replica).is_none_or(|s| s > wanted.replace_after))
+    };
+    let lost = voters.iter().find(is_lost);
+    if voters.len() > wanted.voters {
+        let leaving = lost?.clone();
+        return Some(voters.iter().filter(|v| **v != leaving).cloned().collect());
+    }
+    if lost.is_none() && voters.len() >= wanted.voters {
+        return None;
+    }
+    let in_zone = |zone: &str| {
+        let zone_of = |v: &&Voter| places.get(&v.replica).is_some_and(|p| p.zone == zone);
+        let staying = voters.iter().filter(|v| Some(*v) != lost);
+        staying.filter(zone_of).count()
+    };
+    let spare = replica
+        .progress()
+        .filter(|(id, p)| {
+            let lag = replica.commit().saturating_sub(p.matched);
+            let is_recent = now.since(p.heard_at) < SPARE_SILENCE_MAX;
+            !is_voter(*id) && p.durable && is_recent && p.matched > 0 && lag <= CAUGHT_UP_LAG
+        })
+        .filter_map(|(id, _)| Some((id, places.get(&id)?)))
+        .min_by_key(|(id, place)| (in_zone(&place.zone), *id));
+    let (id, place) = spare?;
+    let mut next = voters.to_vec();
+    next.push(Voter {
+        replica: id,
+        name: place.name.clone(),
+    });
+    Some(next)
+}
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -162,7 +162,7 @@
         loop {
             let now = self.now();
             let ready = self.control.take_ready(now);
-            if !is_idle(&ready) {
+            if !ready.is_idle() {
                 self.backlog.push(ready);
             }
             if self.backlog.is_empty() || !self.store_backlog() {
@@ -258,12 +258,3 @@
         self.traffic.set_fresh(root, zone);
     }
 }
-
-fn is_idle(ready: &Ready) -> bool {
-    ready.hard.is_none()
-        && ready.snapshot.is_none()
-        && ready.truncate_from.is_none()
-        && ready.entries.is_empty()
-        && ready.messages.is_empty()
-        && ready.committed.is_empty()
-}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -29,7 +29,7 @@
     Events, Faults, GiveBody, PushBody, Pushed, Shown, ShownKey, WithdrawnBody, operator_token,
 };
 pub use platform::Announce;
-pub use pool::Pool;
+pub use pool::{Connection, Pool};
 pub use proxy::Proxy;
 
 use crate::node::Node;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! A cluster scheduler for teams that share one fleet.
 
+pub mod cell;
 pub mod change;
 pub mod client;
 pub mod clock;
--- a/src/net/mesh.rs
+++ b/src/net/mesh.rs
@@ -73,7 +73,8 @@
     pub fn learn(&self, addresses: &[String]) {
         let mut known = self.addresses.lock().expect("addresses lock");
         for address in addresses {
-            if known.len() < ADDRESSES_MAX {
+            // Instances that only dial have no address.
+            if known.len() < ADDRESSES_MAX && !address.is_empty() {
                 known.insert(address.clone());
             }
         }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -21,7 +21,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// Content.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: Option<Body>,
 }
 
@@ -61,6 +61,17 @@
     /// Withdrawn keys, spread at once.
     #[prost(message, tag = "11")]
     Withdrawn(Withdrawn),
+    /// Word of a leader under its lease.
+    #[prost(message, tag = "12")]
+    Leading(Leading),
+}
+
+/// Word of a leader that its lease of leadership holds.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Leading {
+    /// Its term.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
 }
 
 /// Heartbeat of a link.
