Send entries that a follower lost again once, and bound what is under way

After a cut every request that followed a lost one was answered as not matching, and the leader answered each with the same 256 KB of entries; nothing bounded what was under way to a silent follower. Change: a mismatch puts the follower into probing, one message at a time, and only the probe's own answer counts; at most 256 entries are under way.

--- a/src/core/consensus/replicate.rs
+++ b/src/core/consensus/replicate.rs
@@ -119,13 +119,22 @@
             heartbeat && now.since(progress.sent_at) >= OBSERVER_HEARTBEAT_EVERY
                 || progress.told_commit < commit
         };
-        if progress.next > last && !is_due {
+        let takes_entries = progress.next <= last && progress.takes_entries(now);
+        if !takes_entries && !is_due {
             return;
         }
         progress.told_commit = commit;
         let prev_index = progress.next - 1;
-        let entries = self.log.slice(progress.next, APPEND_BYTES);
-        progress.next += entries.len() as u64;
+        let entries = if takes_entries {
+            self.log.slice(progress.next, APPEND_BYTES)
+        } else {
+            Vec::new()
+        };
+        if progress.probing && takes_entries {
+            progress.probed_at = Some(now);
+        } else if !progress.probing {
+            progress.next += entries.len() as u64;
+        }
         progress.sent_at = now;
         let append = Append {
             prev_index,
@@ -197,7 +206,10 @@
             progress.record_match(reply.index.min(last));
             self.advance_commit(now);
         } else {
-            progress.record_mismatch(reply.index);
+            let sent_at = Moment(reply.sent_at);
+            if !progress.record_mismatch(reply.index, sent_at) {
+                return;
+            }
         }
         self.send_append(now, from, false);
     }
--- /dev/null
+++ b/tests/replication.rs
@@ -0,0 +1,145 @@
+//! What a leader sends to a follower that lost messages.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use plantaincross::core::consensus::{Replica, Stored};
+use plantaincross::core::time::Moment;
+use plantaincross::wire::{Raft, RaftBody, Voter};
+
+const START: u64 = 10_000_000;
+const ENTRY_BYTES: usize = 1_000;
+
+struct Group {
+    now: u64,
+    replicas: Vec<Replica>,
+    /// Messages on their way, with the time of their arrival.
+    network: VecDeque<(u64, Raft)>,
+    cut: Option<u64>,
+    entry_bytes_to_cut: usize,
+}
+
+impl Group {
+    fn new() -> Self {
+        let replicas = (1..=3)
+            .map(|id| {
+                Replica::new(
+                    id,
+                    &format!("i{id}"),
+                    true,
+                    Stored::default(),
+                    Moment(START),
+                    id,
+                )
+            })
+            .collect();
+        let mut group = Self {
+            now: START + 2_000_000,
+            replicas,
+            network: VecDeque::new(),
+            cut: None,
+            entry_bytes_to_cut: 0,
+        };
+        let voters = (1..=3)
+            .map(|id| Voter {
+                replica: id,
+                name: format!("i{id}"),
+            })
+            .collect();
+        group.replicas[0].found(Moment(group.now), voters);
+        for _ in 0..4_000 {
+            group.step();
+            if group.replicas[0].is_leased(Moment(group.now)) {
+                return group;
+            }
+        }
+        panic!("the founder does not lead");
+    }
+
+    // One millisecond; messages take five.
+    fn step(&mut self) {
+        self.now += 1_000;
+        let now = Moment(self.now);
+        while self.network.front().is_some_and(|(at, _)| *at <= self.now) {
+            let (_, raft) = self.network.pop_front().expect("not empty");
+            let to = raft.to as usize - 1;
+            self.replicas[to].step(now, raft);
+        }
+        for replica in &mut self.replicas {
+            replica.tick(now);
+            replica.flush(now);
+            let ready = replica.take_ready();
+            replica.persisted(now);
+            for raft in ready.messages {
+                let is_cut = self.cut == Some(raft.to) || self.cut == Some(raft.from);
+                if raft.to != 0 && !is_cut {
+                    if let (3, Some(RaftBody::Append(append))) = (raft.to, &raft.body) {
+                        let bytes: usize = append.entries.iter().map(|e| e.command.len()).sum();
+                        self.entry_bytes_to_cut += bytes;
+                    }
+                    self.network.push_back((self.now + 5_000, raft));
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, millis: u64, every: u64) {
+        for at in 0..millis {
+            if at % every == 0 {
+                let command = Bytes::from(vec![7; ENTRY_BYTES]);
+                self.replicas[0].propose(command).expect("leads");
+            }
+            self.step();
+        }
+    }
+}
+
+#[test]
+fn entries_lost_on_the_way_are_sent_again_once() {
+    let mut group = Group::new();
+    group.run(200, 2);
+    group.cut = Some(3);
+    group.run(700, 2);
+    group.cut = None;
+    group.entry_bytes_to_cut = 0;
+    group.run(1_500, 2);
+    for _ in 0..500 {
+        group.step();
+    }
+    let last = group.replicas[0].log().last_index();
+    assert_eq!(
+        group.replicas[2].log().last_index(),
+        last,
+        "the follower has caught up"
+    );
+    // 350 entries were lost and 750 are new; as much again is allowed for probing.
+    let due = (350 + 750) * ENTRY_BYTES;
+    assert!(
+        group.entry_bytes_to_cut <= 2 * due,
+        "{} bytes of entries were sent where {due} were due",
+        group.entry_bytes_to_cut
+    );
+}
+
+#[test]
+fn a_silent_follower_has_a_bounded_backlog() {
+    let mut group = Group::new();
+    group.run(200, 2);
+    // Nothing of the follower comes back, as on a link that is cut one way.
+    let mut sent = 0;
+    for at in 0..900_u64 {
+        if at % 2 == 0 {
+            let command = Bytes::from(vec![7; ENTRY_BYTES]);
+            group.replicas[0].propose(command).expect("leads");
+        }
+        group.network.retain(|(_, raft)| raft.from != 3);
+        let before = group.entry_bytes_to_cut;
+        group.step();
+        sent += group.entry_bytes_to_cut - before;
+    }
+    // 450 entries are due; without an answer not all of them may be under way.
+    assert!(
+        sent <= 300 * ENTRY_BYTES,
+        "{sent} bytes are under way unanswered"
+    );
+}
