--- /dev/null
+++ b/tests/plane.rs
@@ -0,0 +1,217 @@
+//! The leader of a task plane under seeded troubles and under load.
+//!
+//! A longer run: `SCHEDULES=20000 cargo test --release --test plane`.
+
+#[path = "support/plane.rs"]
+mod support;
+
+use plantaincross::core::plane::job::StepSpec;
+use plantaincross::core::plane::plan::Permission;
+use plantaincross::core::plane::types::{Amount, JobId, StepName};
+use support::{Cell, Trouble, queue, tasks};
+
+const SLOW: Permission = Permission {
+    decide_ms: 410.0,
+    each_ms: 5.9,
+    valid_ms: 2_500,
+};
+const QUICK: Permission = Permission {
+    decide_ms: 9.3,
+    each_ms: 0.13,
+    valid_ms: 2_500,
+};
+
+fn cell(seed: u64, workers: usize) -> Cell {
+    let queues = vec![
+        queue("urgent", 0, Some(QUICK)),
+        queue("gang", 1, Some(SLOW)),
+        queue("batch", 2, None),
+    ];
+    let mut cell = Cell::new(seed, workers, queues, Amount::default());
+    cell.run_for(100);
+    cell
+}
+
+fn gang(count: u16, cores: i64, ms: u64) -> StepSpec {
+    StepSpec {
+        gang: false,
+        ..tasks(count, cores, ms)
+    }
+}
+
+// One schedule: jobs of all kinds while workers and leaders fail.
+fn schedule(seed: u64) {
+    let mut cell = cell(seed, 6);
+    cell.trouble = Trouble { late: 20, lost: 20 };
+    let mut next = 1;
+    for second in 0..12_u64 {
+        for _ in 0..6 {
+            let ms = 200 + cell.draw(2_000);
+            let name = ["urgent", "batch", "gang"][cell.draw(3) as usize];
+            let first = tasks(1 + cell.draw(4) as u16, 1 + cell.draw(8) as i64, ms);
+            let mut steps = vec![first];
+            if cell.draw(3) == 0 {
+                let second = tasks(2, 2, ms);
+                steps.push(StepSpec {
+                    after: vec![0],
+                    ..second
+                });
+            }
+            cell.submit(name, next, steps, ms);
+            if cell.draw(12) == 0 {
+                let after = cell.draw(150);
+                cell.run_for(after);
+                cell.cancel(name, next);
+            }
+            next += 1;
+            let gap = cell.draw(200);
+            cell.run_for(gap);
+        }
+        let at = cell.draw(6) as usize;
+        match cell.draw(6) {
+            0 => cell.take_over(),
+            1 => cell.workers[at].cut_until = cell.now + 1_000 + second * 700,
+            2 => cell.workers[at].mute_until = cell.now + 500 + second * 300,
+            3 => {
+                cell.crash(at);
+                let id = format!("x{second}");
+                cell.add_worker(&id, at);
+            }
+            _ => {}
+        }
+    }
+    cell.trouble = Trouble::default();
+    for _ in 0..60 {
+        cell.run_for(1_000);
+        if cell.unfinished().is_empty() && cell.running() == 0 {
+            return;
+        }
+    }
+    panic!(
+        "seed {seed}: {:?} never ended, {} runs are left",
+        cell.unfinished(),
+        cell.running()
+    );
+}
+
+fn schedules(first: u64, count: u64) {
+    for seed in first..first + count {
+        schedule(seed);
+    }
+}
+
+fn per_part() -> u64 {
+    let total: u64 = std::env::var("SCHEDULES")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(200);
+    total / 4
+}
+
+macro_rules! parts {
+    ($($name:ident: $part:expr;)*) => {
+        $(#[test] fn $name() { schedules($part * 1_000_000, per_part()); })*
+    };
+}
+
+parts! {
+    schedules_first_quarter: 0;
+    schedules_second_quarter: 1;
+    schedules_third_quarter: 2;
+    schedules_last_quarter: 3;
+}
+
+#[test]
+fn a_cap_holds_while_jobs_wait() {
+    let cap = Amount {
+        cpu: 10_000,
+        ..Amount::default()
+    };
+    let mut cell = Cell::new(1, 4, vec![queue("batch", 2, None)], cap);
+    cell.run_for(100);
+    for id in 1..=10 {
+        cell.submit("batch", id, vec![tasks(4, 2, 300)], 300);
+    }
+    // The fake workers check the cap at each start.
+    cell.run_for(6_000);
+    assert!(cell.unfinished().is_empty());
+}
+
+#[test]
+fn a_worker_that_fails_all_gets_little() {
+    let mut cell = cell(3, 6);
+    cell.workers[2].fails_all = true;
+    for id in 1..=120 {
+        cell.submit("batch", id, vec![tasks(2, 2, 300)], 300);
+        cell.run_for(50);
+    }
+    cell.run_for(4_000);
+    assert!(cell.unfinished().is_empty(), "no job is given up for a worker's fault");
+    let starts = cell.workers[2].starts;
+    assert!(starts <= 12, "{starts} starts on a worker that fails all");
+}
+
+// Load: gangs on the slow queue that do not fit beside urgent jobs.
+#[test]
+fn quick_permits_do_not_wait_behind_slow_ones() {
+    let mut cell = cell(4, 12);
+    for id in 1..=40 {
+        let step = StepSpec {
+            gang: true,
+            ..tasks(16, 14, 4_000)
+        };
+        cell.submit("gang", id, vec![step], 4_000);
+    }
+    cell.run_for(1_500);
+    let mut waits = Vec::new();
+    for id in 1_000..1_060 {
+        let sent = cell.now;
+        cell.submit("urgent", id, vec![tasks(1, 1, 200)], 200);
+        cell.run_for(50);
+        waits.push((id, sent));
+    }
+    cell.run_for(1_000);
+    let mut took: Vec<u64> = waits
+        .iter()
+        .map(|(id, sent)| {
+            let step = StepName {
+                job: JobId(*id),
+                ..StepName::default()
+            };
+            cell.first_start.get(&step).map_or(10_000, |at| at - sent)
+        })
+        .collect();
+    took.sort_unstable();
+    let p95 = took[took.len() * 95 / 100];
+    // A calm day needs two commits, a question of 13 ms and the ways.
+    assert!(p95 <= 120, "urgent jobs wait {p95} ms for their first start");
+}
+
+#[test]
+fn gangs_that_cannot_start_do_not_ask_again_and_again() {
+    let mut cell = cell(5, 12);
+    for id in 1..=40 {
+        let step = StepSpec {
+            gang: true,
+            ..tasks(16, 14, 60_000)
+        };
+        cell.submit("gang", id, vec![step], 60_000);
+    }
+    cell.run_for(3_000);
+    let before = cell.questions;
+    cell.run_for(10_000);
+    let more = cell.questions - before;
+    assert!(more <= 40, "{more} questions for gangs that do not fit");
+}
+
+#[test]
+fn members_of_a_gang_start_together() {
+    let mut cell = cell(6, 6);
+    let step = StepSpec {
+        gang: true,
+        ..gang(6, 9, 800)
+    };
+    cell.submit("gang", 1, vec![step], 800);
+    cell.run_for(3_000);
+    assert!(cell.unfinished().is_empty());
+}
--- /dev/null
+++ b/tests/support/plane.rs
@@ -0,0 +1,701 @@
+//! A leader of a task plane with fake workers, a fake permission service and a log
+//! that commits after a while. Time is simulated; each schedule has a seed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use plantaincross::core::plane::job::{Standing, StepSpec, Submission};
+use plantaincross::core::plane::lead::{
+    Action, Answer, Bounds, Call, Declined, Effect, EndRow, Lead, Lists, Now, Order, Permission,
+    Query, Question, Reply, Request, RunningRow, Work,
+};
+use plantaincross::core::plane::plan::{self, Account, Plan, Queue, Service};
+use plantaincross::core::plane::state::{Command, State};
+use plantaincross::core::plane::types::{Amount, How, JobId, StepName, TaskName};
+use plantaincross::core::plane::worker::Report;
+use plantaincross::core::registry::InstanceId;
+use plantaincross::core::time::Moment;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Milliseconds from proposing to committing.
+const COMMIT_MS: u64 = 12;
+/// Milliseconds one way.
+const WAY_MS: u64 = 2;
+/// Clock reading at the start.
+const START_MS: u64 = 5_000_000;
+/// Instances that can ask the permission service.
+pub const ASKERS: u64 = 13;
+pub const BOUNDS: Bounds = Bounds {
+    hold: Duration::from_millis(6_000),
+    stop: Duration::from_millis(200),
+    far: 1.5,
+};
+
+#[derive(Clone, Debug)]
+struct Running {
+    run: u32,
+    began: u64,
+    ends: u64,
+    fails: bool,
+    room: Amount,
+}
+
+/// A worker that keeps the rules of the interface.
+#[derive(Clone, Debug)]
+pub struct FakeWorker {
+    pub report: Report,
+    pub up: bool,
+    /// Nothing passes in either direction until then.
+    pub cut_until: u64,
+    /// Answers are lost until then.
+    pub mute_until: u64,
+    pub fails_all: bool,
+    fence: u64,
+    deadline: u64,
+    born_at: u64,
+    runs: BTreeMap<TaskName, Running>,
+    barred: BTreeMap<TaskName, u32>,
+    ended: Vec<EndRow>,
+    next_end: u64,
+    /// The lease lapsed after the end of this number and those before it.
+    lapsed_to: u64,
+    pub starts: u64,
+}
+
+impl FakeWorker {
+    fn clock(&self, now: u64) -> u64 {
+        // Two percent slow.
+        (now - self.born_at) * 98 / 100 + 1_000
+    }
+
+    fn used(&self) -> Amount {
+        self.runs.values().fold(Amount::default(), |sum, run| sum + run.room)
+    }
+
+    fn end(&mut self, task: TaskName, run: u32, how: How) {
+        self.runs.remove(&task);
+        let barred = self.barred.entry(task).or_insert(0);
+        *barred = (*barred).max(run);
+        self.next_end += 1;
+        self.ended.push(EndRow {
+            number: self.next_end,
+            task,
+            run,
+            how,
+            checkpoint: None,
+        });
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Arrive(Box<Order>, u64),
+    Look(Box<Order>, u64),
+    Answer(u64, Reply),
+    Timeout(u64),
+    Commit(u64, Box<Command>, Vec<(Call, Answer)>),
+    Permit(u64, u64, Permission),
+}
+
+/// How a schedule goes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Trouble {
+    /// Part of the orders without an answer, carried out 2 to 12 s later, in thousandths.
+    pub late: u32,
+    /// Part of the answers that are lost, in thousandths.
+    pub lost: u32,
+}
+
+pub struct Cell {
+    pub now: u64,
+    pub state: State,
+    pub lead: Option<Lead>,
+    pub term: u64,
+    pub workers: Vec<FakeWorker>,
+    pub trouble: Trouble,
+    pub answers: BTreeMap<u64, Answer>,
+    /// When each job was seen to be completed.
+    pub completed: BTreeMap<JobId, u64>,
+    pub questions: u64,
+    /// Milliseconds of work of the permission service.
+    pub asked_ms: f64,
+    pub first_start: BTreeMap<StepName, u64>,
+    events: BTreeMap<(u64, u64), Event>,
+    open: BTreeSet<u64>,
+    sequence: u64,
+    next_call: u64,
+    asker_free: BTreeMap<u64, u64>,
+    rng: ChaCha8Rng,
+    done_noted: BTreeSet<TaskName>,
+    failed_noted: BTreeMap<TaskName, u32>,
+    sizes: BTreeMap<JobId, Vec<StepSpec>>,
+    durations: BTreeMap<JobId, u64>,
+    cancelled: BTreeSet<JobId>,
+}
+
+pub fn queue(name: &str, priority: u32, permission: Option<plan::Permission>) -> Queue {
+    Queue {
+        name: name.to_owned(),
+        host: "h".to_owned(),
+        prefix: format!("/{name}/"),
+        service: "s".to_owned(),
+        open: false,
+        priority,
+        attempts: 3,
+        stretch: 1.5,
+        goal_ms: 250,
+        timeout_ms: 3_000,
+        permission,
+    }
+}
+
+impl Cell {
+    pub fn new(seed: u64, workers: usize, queues: Vec<Queue>, cap: Amount) -> Self {
+        let mut cell = Self {
+            now: START_MS,
+            state: State::default(),
+            lead: None,
+            term: 0,
+            workers: Vec::new(),
+            trouble: Trouble::default(),
+            answers: BTreeMap::new(),
+            completed: BTreeMap::new(),
+            questions: 0,
+            asked_ms: 0.0,
+            first_start: BTreeMap::new(),
+            events: BTreeMap::new(),
+            open: BTreeSet::new(),
+            sequence: 0,
+            next_call: 0,
+            asker_free: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            done_noted: BTreeSet::new(),
+            failed_noted: BTreeMap::new(),
+            sizes: BTreeMap::new(),
+            durations: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
+        };
+        cell.state.apply(Command::Configure {
+            plan: Box::new(Plan {
+                version: 1,
+                queues,
+                services: vec![Service {
+                    name: "s".to_owned(),
+                    ..Service::default()
+                }],
+                accounts: vec![Account {
+                    name: "a".to_owned(),
+                    keys: vec!["key".to_owned()],
+                    weight: 10,
+                    cap,
+                }],
+                ..Plan::default()
+            }),
+            document: Vec::new(),
+        });
+        for at in 0..workers {
+            cell.add_worker(&format!("w{at}"), at);
+        }
+        cell.take_over();
+        cell
+    }
+
+    pub fn add_worker(&mut self, id: &str, at: usize) {
+        let report = Report {
+            id: id.to_owned(),
+            born_ms: self.now,
+            service: "s".to_owned(),
+            address: format!("10.0.0.1:{}", 1_000 + self.workers.len()),
+            zone: "z".to_owned(),
+            capacity: Amount {
+                cpu: 32_000,
+                memory: 128_000,
+                accelerators: 0,
+            },
+            labels: vec!["kind".to_owned(), format!("r{}", at / 6)],
+            sequence: 1,
+            ..Report::default()
+        };
+        self.workers.push(FakeWorker {
+            report: report.clone(),
+            up: true,
+            cut_until: 0,
+            mute_until: 0,
+            fails_all: false,
+            fence: 0,
+            deadline: 0,
+            born_at: self.now,
+            runs: BTreeMap::new(),
+            barred: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 0,
+            lapsed_to: 0,
+            starts: 0,
+        });
+        self.query(Query::Report(Box::new(report)));
+        if self.lead.is_none() {
+            let report = self.workers.last().expect("just added").report.clone();
+            self.state.apply(Command::Register(Box::new(report)));
+        }
+    }
+
+    /// A new leader takes over; of what was proposed and not committed, a part that
+    /// is drawn by lot is.
+    pub fn take_over(&mut self) {
+        let proposed: Vec<(u64, u64)> = self
+            .events
+            .iter()
+            .filter(|(_, event)| matches!(event, Event::Commit(..)))
+            .map(|(&key, _)| key)
+            .collect();
+        let kept = self.rng.random_range(0..=proposed.len());
+        for (at, key) in proposed.into_iter().enumerate() {
+            if let Some(Event::Commit(_, command, _)) = self.events.remove(&key)
+                && at < kept
+            {
+                self.state.apply(*command);
+            }
+        }
+        self.open.clear();
+        self.term += 1;
+        let mut lead = Lead::new(self.present(), self.term, BOUNDS, &self.state);
+        let askers: Vec<InstanceId> = (1..=ASKERS).map(InstanceId).collect();
+        lead.set_askers(&askers);
+        self.lead = Some(lead);
+    }
+
+    fn present(&self) -> Now {
+        Now {
+            at: Moment::from_millis(self.now),
+            wall_ms: self.now,
+        }
+    }
+
+    fn schedule(&mut self, after: u64, event: Event) {
+        self.sequence += 1;
+        self.events.insert((self.now + after, self.sequence), event);
+    }
+
+    pub fn query(&mut self, query: Query) -> u64 {
+        self.next_call += 1;
+        let call = self.next_call;
+        let now = self.present();
+        if let Some(lead) = &mut self.lead {
+            let effects = lead.ask(now, &self.state, Call(call), query);
+            self.carry_out(effects);
+        }
+        call
+    }
+
+    pub fn request(&mut self, path: &str, action: Action) -> u64 {
+        self.query(Query::Request(Box::new(Request {
+            host: "h".to_owned(),
+            path: path.to_owned(),
+            key: Some("key".to_owned()),
+            action,
+        })))
+    }
+
+    /// Hands in a job whose tasks run for `ms`.
+    pub fn submit(&mut self, queue: &str, id: u64, steps: Vec<StepSpec>, ms: u64) {
+        let id = JobId(id);
+        self.sizes.insert(id, steps.clone());
+        self.durations.insert(id, ms);
+        let submission = Submission {
+            steps,
+            ..Submission::default()
+        };
+        let path = format!("/{queue}/{id}");
+        self.request(&path, Action::Submit(Box::new(submission)));
+    }
+
+    pub fn cancel(&mut self, queue: &str, id: u64) {
+        let path = format!("/{queue}/{}", JobId(id));
+        let call = self.request(&path, Action::Cancel);
+        if self.answers.get(&call).is_none_or(|answer| *answer == Answer::Done) {
+            self.cancelled.insert(JobId(id));
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now += 1;
+        self.run_workers();
+        while let Some((&(at, sequence), _)) = self.events.first_key_value() {
+            if at > self.now {
+                break;
+            }
+            let event = self.events.remove(&(at, sequence)).expect("first");
+            self.take(event);
+        }
+        let now = self.present();
+        if let Some(lead) = &mut self.lead
+            && self.now.is_multiple_of(5)
+        {
+            let effects = lead.tick(now, &self.state);
+            self.carry_out(effects);
+        }
+        self.check();
+    }
+
+    pub fn run_for(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.step();
+        }
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Propose(command, answers) => {
+                    let event = Event::Commit(self.term, Box::new(command), answers);
+                    self.schedule(COMMIT_MS, event);
+                }
+                Effect::Answer(call, answer) => {
+                    self.answers.insert(call.0, answer);
+                }
+                Effect::Order(order) => self.send(order),
+                Effect::Ask(asker, question) => self.ask(asker.0, &question),
+                Effect::Note(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, order: Order) {
+        // Numbers begin anew with each leader, so that the fence tells them apart.
+        let key = order.number + (order.fence << 40);
+        self.open.insert(key);
+        let timeout = order.timeout.as_millis() as u64;
+        self.schedule(timeout, Event::Timeout(key));
+        let delay = if self.rng.random_ratio(self.trouble.late.min(1_000), 1_000) {
+            self.open.remove(&key);
+            self.schedule(timeout, Event::Answer(key, Reply::NoAnswer));
+            self.open.insert(key);
+            self.rng.random_range(2_000..12_000)
+        } else {
+            WAY_MS
+        };
+        let at = self.workers.iter().position(|w| w.report.address == order.address);
+        if let Some(at) = at {
+            self.schedule(delay, Event::Arrive(Box::new(order), at as u64));
+        }
+    }
+
+    fn ask(&mut self, asker: u64, question: &Question) {
+        let cost = self.cost(question);
+        self.questions += 1;
+        self.asked_ms += cost as f64;
+        let free = self.asker_free.get(&asker).copied().unwrap_or(0).max(self.now) + cost;
+        self.asker_free.insert(asker, free);
+        // Two workers of three may run a step.
+        let granted = question
+            .workers
+            .iter()
+            .filter(|id| is_good(question.step, id))
+            .map(|id| (id.clone(), "permit".to_owned()))
+            .collect();
+        let after = free - self.now + 2 * WAY_MS;
+        let event = Event::Permit(self.term, question.number, Permission::Granted(granted));
+        self.schedule(after, event);
+    }
+
+    fn cost(&self, question: &Question) -> u64 {
+        let queue = &self.state.jobs.get(&question.step.job).map(|job| job.queue);
+        let terms = queue.and_then(|key| self.state.queue(key).permission);
+        let terms = terms.unwrap_or_default();
+        (terms.decide_ms + terms.each_ms * question.workers.len() as f64) as u64
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.present();
+        match event {
+            Event::Arrive(order, at) => self.arrive(&order, at as usize),
+            Event::Look(order, at) => self.answer_look(&order, at as usize),
+            Event::Answer(key, reply) => {
+                if !self.open.remove(&key) || key >> 40 != self.term {
+                    return;
+                }
+                let number = key & ((1 << 40) - 1);
+                if let Some(lead) = &mut self.lead {
+                    let effects = lead.reply(now, &self.state, number, reply);
+                    self.carry_out(effects);
+                }
+            }
+            Event::Timeout(key) => self.take(Event::Answer(key, Reply::NoAnswer)),
+            Event::Commit(term, command, answers) => {
+                self.note_ends(&command);
+                self.state.apply((*command).clone());
+                for (call, answer) in answers {
+                    self.answers.insert(call.0, answer);
+                }
+                if term == self.term
+                    && let Some(lead) = &mut self.lead
+                {
+                    let effects = lead.applied(now, &self.state, &command);
+                    self.carry_out(effects);
+                }
+            }
+            Event::Permit(term, number, permission) => {
+                if term == self.term
+                    && let Some(lead) = &mut self.lead
+                {
+                    let effects = lead.permission(now, &self.state, number, permission);
+                    self.carry_out(effects);
+                }
+            }
+        }
+    }
+
+    fn note_ends(&mut self, command: &Command) {
+        if let Command::Progress { ends, .. } = command {
+            for end in ends {
+                if end.how == How::Failed {
+                    *self.failed_noted.entry(end.task).or_insert(0) += 1;
+                }
+            }
+        }
+    }
+
+    fn reaches(&self, at: usize) -> bool {
+        let worker = &self.workers[at];
+        worker.up && self.now >= worker.cut_until
+    }
+
+    fn reply(&mut self, order: &Order, at: usize, reply: Reply) {
+        let worker = &self.workers[at];
+        let is_lost = self.rng.random_ratio(self.trouble.lost.min(1_000), 1_000);
+        if is_lost || self.now < worker.mute_until || self.now < worker.cut_until {
+            return;
+        }
+        let key = order.number + (order.fence << 40);
+        self.schedule(WAY_MS, Event::Answer(key, reply));
+    }
+
+    fn arrive(&mut self, order: &Order, at: usize) {
+        if !self.reaches(at) {
+            return;
+        }
+        if self.workers[at].report.id != order.worker {
+            self.reply(order, at, Reply::Replaced);
+            return;
+        }
+        let clock = self.workers[at].clock(self.now);
+        let most = clock + BOUNDS.hold.as_millis() as u64;
+        let fenced = order.fence < self.workers[at].fence;
+        let worker = &mut self.workers[at];
+        worker.fence = worker.fence.max(order.fence);
+        match &order.task {
+            Work::Start {
+                task, run, until, ..
+            } => {
+                let reply = if fenced {
+                    Reply::Declined(Declined::Fence)
+                } else {
+                    self.start(at, *task, *run, (*until).min(most), clock)
+                };
+                self.reply(order, at, reply);
+            }
+            Work::Stop { task, run } if !fenced => {
+                let barred = worker.barred.entry(*task).or_insert(0);
+                *barred = (*barred).max(*run);
+                if worker.runs.get(task).is_some_and(|r| r.run <= *run) {
+                    let found = worker.runs[task].run;
+                    worker.end(*task, found, How::Stopped);
+                }
+                self.reply(order, at, Reply::Done(clock));
+            }
+            Work::Look { until, wait, .. } if !fenced => {
+                if let Some(until) = until {
+                    worker.deadline = worker.deadline.max((*until).min(most));
+                }
+                let wait = if worker.ended.is_empty() {
+                    wait.as_millis() as u64
+                } else {
+                    0
+                };
+                // A look that waits is answered when its time is over or at an end.
+                let first = worker.runs.values().map(|r| r.ends).min();
+                let until_end = first.map_or(wait, |ends| ends.saturating_sub(self.now) + 1);
+                let event = Event::Look(Box::new(order.clone()), at as u64);
+                self.schedule(wait.min(until_end), event);
+            }
+            Work::Stop { .. } | Work::Look { .. } => {}
+        }
+    }
+
+    fn answer_look(&mut self, order: &Order, at: usize) {
+        let Work::Look { seen, .. } = &order.task else {
+            return;
+        };
+        if !self.reaches(at) || self.workers[at].fence > order.fence {
+            return;
+        }
+        let clock = self.workers[at].clock(self.now);
+        let worker = &mut self.workers[at];
+        // An end whose worker's lease lapsed before it was noted need not be known.
+        for end in worker.ended.iter().filter(|e| e.number <= *seen) {
+            if end.how == How::Done && end.number > worker.lapsed_to {
+                self.done_noted.insert(end.task);
+            }
+        }
+        worker.ended.retain(|end| end.number > *seen);
+        let now = self.now;
+        let lists = Lists {
+            born_ms: Some(worker.report.born_ms),
+            running: worker
+                .runs
+                .iter()
+                .map(|(&task, run)| RunningRow {
+                    task,
+                    run: run.run,
+                    checkpoint: None,
+                    percent: ((now - run.began) * 100 / (run.ends - run.began).max(1)) as u32,
+                })
+                .collect(),
+            ended: worker.ended.clone(),
+        };
+        self.reply(order, at, Reply::Lists(clock, lists));
+    }
+
+    fn start(&mut self, at: usize, task: TaskName, run: u32, until: u64, clock: u64) -> Reply {
+        let worker = &self.workers[at];
+        if worker.runs.get(&task).is_some_and(|r| r.run == run) {
+            return Reply::Done(clock);
+        }
+        if worker.barred.get(&task).is_some_and(|&barred| run <= barred) {
+            return Reply::Declined(Declined::Old);
+        }
+        if until <= clock {
+            return Reply::Declined(Declined::Late);
+        }
+        let spec = self.sizes[&task.step.job][usize::from(task.step.step)].clone();
+        let elsewhere = self
+            .workers
+            .iter()
+            .filter(|w| w.up)
+            .find(|w| w.runs.contains_key(&task));
+        assert!(
+            elsewhere.is_none(),
+            "{task} run {run} starts on {} at {} while {} has it",
+            worker.report.id,
+            self.now,
+            elsewhere.expect("found").report.id
+        );
+        assert!(!self.done_noted.contains(&task), "{task} starts after its end was noted");
+        let failed = self.failed_noted.get(&task).copied().unwrap_or(0);
+        assert!(failed < 3, "{task} starts after {failed} failures");
+        let used = worker.used() + spec.room();
+        assert!(used.fits(&worker.report.capacity), "{} is over its capacity", worker.report.id);
+        for before in &spec.after {
+            let job = &self.state.jobs[&task.step.job];
+            let done = job.occurrences.is_empty()
+                || job.occurrences[0][usize::from(*before)].is_done();
+            assert!(done, "{task} starts before step {before} is done");
+        }
+        let needed: Amount = self
+            .workers
+            .iter()
+            .filter(|w| w.up)
+            .flat_map(|w| w.runs.values())
+            .fold(spec.need, |sum, run| sum + run.room);
+        let cap = self.state.accounts[0].cap;
+        assert!(needed.is_within_cap(&cap), "the account is over its cap: {needed:?}");
+        self.first_start.entry(task.step).or_insert(self.now);
+        let ms = self.durations[&task.step.job];
+        let worker = &mut self.workers[at];
+        worker.deadline = worker.deadline.max(until);
+        worker.starts += 1;
+        worker.runs.insert(
+            task,
+            Running {
+                run,
+                began: self.now,
+                ends: self.now + if worker.fails_all { 50 } else { ms },
+                fails: worker.fails_all,
+                room: spec.room(),
+            },
+        );
+        Reply::Done(clock)
+    }
+
+    fn run_workers(&mut self) {
+        let now = self.now;
+        for worker in self.workers.iter_mut().filter(|w| w.up) {
+            let clock = worker.clock(now);
+            if clock > worker.deadline {
+                worker.lapsed_to = worker.next_end;
+            }
+            let over: Vec<(TaskName, u32, How)> = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| clock > worker.deadline || now >= run.ends)
+                .map(|(&task, run)| {
+                    let how = if clock > worker.deadline {
+                        How::Lapsed
+                    } else if run.fails {
+                        How::Failed
+                    } else {
+                        How::Done
+                    };
+                    (task, run.run, how)
+                })
+                .collect();
+            for (task, run, how) in over {
+                worker.end(task, run, how);
+            }
+        }
+    }
+
+    /// Crashes a worker; it comes back as another incarnation.
+    pub fn crash(&mut self, at: usize) {
+        let worker = &mut self.workers[at];
+        worker.up = false;
+        worker.runs.clear();
+    }
+
+    fn check(&mut self) {
+        for (&id, job) in &self.state.jobs {
+            if job.standing == Standing::Completed {
+                self.completed.entry(id).or_insert(self.now);
+            }
+        }
+    }
+
+    /// Returns accepted jobs that have neither completed nor been cancelled.
+    pub fn unfinished(&self) -> Vec<JobId> {
+        self.sizes
+            .keys()
+            .filter(|id| self.state.jobs.contains_key(id))
+            .filter(|id| !self.completed.contains_key(id) && !self.cancelled.contains(id))
+            .copied()
+            .collect()
+    }
+
+    /// Returns runs on workers that are up.
+    pub fn running(&self) -> usize {
+        self.workers.iter().filter(|w| w.up).map(|w| w.runs.len()).sum()
+    }
+
+    pub fn draw(&mut self, below: u64) -> u64 {
+        self.rng.random_range(0..below)
+    }
+}
+
+fn is_good(step: StepName, worker: &str) -> bool {
+    let sum: u64 = worker.bytes().map(u64::from).sum::<u64>() + step.job.0 + u64::from(step.step);
+    !sum.is_multiple_of(3)
+}
+
+/// A step of `count` tasks on `cores` cores each, estimated at `ms`.
+pub fn tasks(count: u16, cores: i64, ms: u64) -> StepSpec {
+    StepSpec {
+        count,
+        need: Amount {
+            cpu: cores * 1_000,
+            memory: 1_000,
+            accelerators: 0,
+        },
+        estimate_ms: ms,
+        ..StepSpec::default()
+    }
+}
