Plan at a bounded cost, and keep both links of a pair alive

Every round cloned all workers for each waiting step, and each list of a worker walked all runs of all workers. Links between control instances flapped every 2.8 s: each side sent its pings on another one of two links and closed the one that was silent to it. Change: workers by key in a vector, eligible workers found once a round, permits read instead of all workers, counts of runs kept per worker, a round that ends after 60,000 looks and a pause by the work of the latest; log lines are counted against their budget before they are formatted; pings go on every link.

--- a/src/cell/control.rs
+++ b/src/cell/control.rs
@@ -314,7 +314,8 @@
             peers,
             ..Ping::default()
         };
-        for link in self.links.values().filter_map(|links| links.last()) {
+        // On every link: each side may send on another one of two.
+        for link in self.links.values().flatten() {
             link.send(Body::Ping(ping.clone()));
         }
         self.calls.sweep(&self.links);
--- a/src/cell/entry.rs
+++ b/src/cell/entry.rs
@@ -260,7 +260,8 @@
             sent_at: now.0,
             ..Ping::default()
         };
-        for link in shared.links.values().filter_map(|links| links.last()) {
+        // On every link: each side may send on another one of two.
+        for link in shared.links.values().flatten() {
             link.send(Body::Ping(ping.clone()));
         }
         let Shared { links, calls, .. } = &mut *shared;
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -5,6 +5,7 @@
 //! budget a second. What was left out is counted and told.
 
 use std::collections::HashMap;
+use std::mem::{Discriminant, discriminant};
 use std::sync::{Arc, Mutex};
 
 use serde::Serialize;
@@ -144,6 +145,13 @@
     },
 }
 
+/// Kinds of lines, each with a budget of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Kind {
+    Line(Discriminant<Line>),
+    Note(Discriminant<Note>),
+}
+
 #[derive(Debug, Default)]
 struct Budget {
     second: u64,
@@ -157,7 +165,7 @@
     instance: Arc<str>,
     writer: NonBlocking,
     dropped: ErrorCounter,
-    budgets: Arc<Mutex<HashMap<String, Budget>>>,
+    budgets: Arc<Mutex<HashMap<Kind, Budget>>>,
 }
 
 impl Journal {
@@ -185,24 +193,23 @@
 
     /// Writes a line of the process.
     pub fn write(&self, line: &Line) {
-        self.put(line);
+        self.put(Kind::Line(discriminant(line)), line);
     }
 
     /// Writes a leader's note.
     pub fn note(&self, note: &Note) {
-        self.put(note);
+        self.put(Kind::Note(discriminant(note)), note);
     }
 
-    fn put<T: Serialize>(&self, line: &T) {
+    fn put<T: Serialize>(&self, kind: Kind, line: &T) {
         let at_ms = clock::wall_millis();
-        let text = serde_json::to_string(line).expect("plain data always encodes");
-        let kind = kind_of(&text);
         let Some(left_out) = self.admit(kind, at_ms / 1_000) else {
             return;
         };
+        let text = serde_json::to_string(line).expect("plain data always encodes");
         if left_out > 0 {
             let told = Line::LeftOut {
-                kind: kind.to_owned(),
+                kind: kind_of(&text).to_owned(),
                 count: left_out,
             };
             let told = serde_json::to_string(&told).expect("plain data always encodes");
@@ -212,9 +219,9 @@
     }
 
     // None if the budget of the second is spent; else what was left out before.
-    fn admit(&self, kind: &str, second: u64) -> Option<u64> {
+    fn admit(&self, kind: Kind, second: u64) -> Option<u64> {
         let mut budgets = self.budgets.lock().expect("budgets lock");
-        let budget = budgets.entry(kind.to_owned()).or_default();
+        let budget = budgets.entry(kind).or_default();
         if budget.second != second {
             budget.second = second;
             budget.written = 0;
--- a/src/core/plane/job.rs
+++ b/src/core/plane/job.rs
@@ -256,6 +256,9 @@
     /// Returns the estimated time of the longest chain of steps that are not done,
     /// in milliseconds; of all steps if `whole`.
     pub fn chain_ms(&self, occurrence: usize, whole: bool) -> u64 {
+        if let [only] = self.submission.steps.as_slice() {
+            return only.estimate_ms;
+        }
         let mut ends = Vec::with_capacity(self.submission.steps.len());
         for (at, spec) in self.submission.steps.iter().enumerate() {
             let before = spec.after.iter().map(|&b| ends[usize::from(b)]).max();
--- a/src/core/plane/lead/channel.rs
+++ b/src/core/plane/lead/channel.rs
@@ -41,6 +41,17 @@
     }
 }
 
+/// What a run means for placing others beside it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Nature {
+    /// Processor time that it takes as urgent work, in thousandths of a core.
+    pub urgent_cpu: i64,
+    /// Whether it has users of its own.
+    pub serving: bool,
+    /// Whether it only fills.
+    pub filling: bool,
+}
+
 /// What the leader knows of a run that may be on the worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Live {
@@ -62,8 +73,8 @@
     pub progress: Option<(u32, Moment)>,
     /// Whether an end has been proposed.
     pub ending: bool,
-    /// Processor time that it takes as urgent work, in thousandths of a core.
-    pub urgent_cpu: i64,
+    /// What it is to placing.
+    pub nature: Nature,
 }
 
 /// What the leader knows of a worker.
@@ -94,7 +105,17 @@
     /// When an order was first left unanswered since the last answer.
     pub unanswered_since: Option<Moment>,
     /// Runs.
-    pub live: BTreeMap<TaskName, Live>,
+    live: BTreeMap<TaskName, Live>,
+    /// Runs whose end is proposed and not committed.
+    ending: usize,
+    /// Sums of what the runs are to placing.
+    pub urgent_cpu: i64,
+    /// Runs with users of their own.
+    pub serving: usize,
+    /// Runs that only fill.
+    pub filling: usize,
+    /// Rack, as the leader numbers them.
+    pub rack: u32,
     /// What planned starts will take.
     pub reserved: Amount,
     /// Failed runs since the latest success.
@@ -109,7 +130,7 @@
 
 impl Channel {
     /// Makes the record of a worker whose earlier orders lapse by `lapse_by`.
-    pub fn new(now: Moment, lapse_by: Moment) -> Self {
+    pub fn new(now: Moment, lapse_by: Moment, rack: u32) -> Self {
         Self {
             adopted: false,
             reading: None,
@@ -124,6 +145,11 @@
             look_at: now,
             unanswered_since: None,
             live: BTreeMap::new(),
+            ending: 0,
+            urgent_cpu: 0,
+            serving: 0,
+            filling: 0,
+            rack,
             reserved: Amount::default(),
             failures: 0,
             avoid_until: Moment::ZERO,
@@ -132,6 +158,51 @@
         }
     }
 
+    /// Returns the runs.
+    pub const fn live(&self) -> &BTreeMap<TaskName, Live> {
+        &self.live
+    }
+
+    /// Returns a run, to be changed in place.
+    pub fn run_mut(&mut self, task: TaskName, run: u32) -> Option<&mut Live> {
+        self.live.get_mut(&task).filter(|live| live.run == run)
+    }
+
+    /// Adds a run.
+    pub fn insert(&mut self, task: TaskName, live: Live) {
+        self.remove(task);
+        self.urgent_cpu += live.nature.urgent_cpu;
+        self.serving += usize::from(live.nature.serving);
+        self.filling += usize::from(live.nature.filling);
+        self.live.insert(task, live);
+    }
+
+    /// Removes a run.
+    pub fn remove(&mut self, task: TaskName) {
+        let Some(live) = self.live.remove(&task) else {
+            return;
+        };
+        self.ending -= usize::from(live.ending);
+        self.urgent_cpu -= live.nature.urgent_cpu;
+        self.serving -= usize::from(live.nature.serving);
+        self.filling -= usize::from(live.nature.filling);
+    }
+
+    /// Records that a run's end is proposed. False if it is not known or was before.
+    pub fn begin_end(&mut self, task: TaskName, run: u32) -> bool {
+        let Some(live) = self.run_mut(task, run).filter(|live| !live.ending) else {
+            return false;
+        };
+        live.ending = true;
+        self.ending += 1;
+        true
+    }
+
+    /// Returns whether ends are proposed and not committed.
+    pub const fn is_storing(&self) -> bool {
+        self.ending > 0
+    }
+
     /// Records an answer with the worker's clock.
     pub fn hear(&mut self, now: Moment, clock_ms: u64) {
         self.heard_at = now;
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -12,7 +12,7 @@
 mod requests;
 mod workers;
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 pub use channel::{Channel, Live, Reading};
@@ -25,7 +25,8 @@
 pub use place::{Candidate, Seat, Seats};
 
 use super::state::{Command, End, Start, State};
-use super::types::{Amount, StepName, TaskName, WorkerKey};
+use super::types::{Amount, How, JobId, StepName, TaskName, WorkerKey};
+use super::worker::Worker;
 use crate::core::registry::InstanceId;
 use crate::core::time::{Moment, with_clock_margin};
 
@@ -52,6 +53,9 @@
 /// Shortest time between two rounds of planning. Starts and ends of one round share
 /// one log entry, and a round costs some 100 us of processor time.
 const PLAN_EVERY: Duration = Duration::from_millis(4);
+/// Pause for each worker or step that a round looked at: some four times what that
+/// takes on a slow instance, so that planning never takes more than a fifth of it.
+const PLAN_WORK: Duration = Duration::from_nanos(400);
 /// Time within which planning takes place at the latest, for what time alone changes.
 const PLAN_IDLE: Duration = Duration::from_millis(100);
 /// Weight of the latest run in the ratio of run times to estimates.
@@ -64,6 +68,10 @@
     since: Moment,
     bounds: Bounds,
     channels: BTreeMap<WorkerKey, Channel>,
+    /// Where the runs of each task are.
+    places: BTreeSet<(TaskName, WorkerKey)>,
+    racks: HashMap<String, u32>,
+    runs_checked_at: Moment,
     permits: Permits,
     sent: HashMap<u64, io::Sent>,
     next_number: u64,
@@ -72,8 +80,8 @@
     placing_steps: HashMap<StepName, u16>,
     placing_use: HashMap<u32, Amount>,
     reservations: HashMap<TaskName, (Amount, Amount, Option<u32>)>,
-    cancelling: HashSet<super::types::JobId>,
-    submitting: HashMap<super::types::JobId, Vec<Call>>,
+    cancelling: HashSet<JobId>,
+    submitting: HashMap<JobId, Vec<Call>>,
     /// Ends to propose with the next round.
     ends: Vec<End>,
     /// Run time relative to the estimate, by queue name.
@@ -81,6 +89,8 @@
     urgent_use: f64,
     dirty: bool,
     planned_at: Moment,
+    /// Time between two rounds, by the work of the latest.
+    plan_pause: Duration,
     effects: Vec<Effect>,
 }
 
@@ -93,6 +103,9 @@
             since: now.at,
             bounds,
             channels: BTreeMap::new(),
+            places: BTreeSet::new(),
+            racks: HashMap::new(),
+            runs_checked_at: Moment::ZERO,
             permits: Permits::default(),
             sent: HashMap::new(),
             next_number: 0,
@@ -107,20 +120,24 @@
             urgent_use: 0.0,
             dirty: true,
             planned_at: Moment::ZERO,
+            plan_pause: PLAN_EVERY,
             effects: Vec::new(),
         };
         for (key, worker) in (0..).map(WorkerKey).zip(&state.workers) {
             if worker.gone && worker.runs.is_empty() {
                 continue;
             }
-            let mut channel = Channel::new(now.at, lead.lapse_by(now.at));
+            let rack = lead.rack(worker);
+            let mut channel = Channel::new(now.at, lead.lapse_by(now.at), rack);
             for (task, run) in &worker.runs {
                 let live = Live {
                     run: run.run,
                     ordered_at: now.at,
+                    nature: workers::nature(state, *task, run.room.cpu),
                     ..Live::default()
                 };
-                channel.live.insert(*task, live);
+                channel.insert(*task, live);
+                lead.places.insert((*task, key));
             }
             lead.channels.insert(key, channel);
         }
@@ -132,6 +149,12 @@
         now + with_clock_margin(with_clock_margin(self.bounds.hold)) + self.bounds.stop
     }
 
+    fn rack(&mut self, worker: &Worker) -> u32 {
+        let next = self.racks.len() as u32;
+        let name = worker.rack().unwrap_or_default();
+        *self.racks.entry(name.to_owned()).or_insert(next)
+    }
+
     /// Returns when the term began.
     pub const fn since(&self) -> Moment {
         self.since
@@ -211,7 +234,7 @@
             }
             Command::Cancel { job, .. } => {
                 self.cancelling.remove(job);
-                self.stop_unwanted(now, state);
+                self.stop_unwanted(now, state, *job);
             }
             Command::Progress { ends, starts, .. } => self.progressed(now, state, ends, starts),
         }
@@ -223,14 +246,20 @@
         for end in ends {
             self.ended(state, end);
         }
-        let breaks = |end: &End| end.how != super::types::How::Done;
-        if ends.iter().any(breaks) {
-            self.stop_unwanted(now, state);
+        let broken: BTreeSet<JobId> = ends
+            .iter()
+            .filter(|end| end.how != How::Done)
+            .map(|end| end.task.step.job)
+            .collect();
+        for job in broken {
+            self.stop_unwanted(now, state, job);
         }
         for start in starts {
             self.started(now, state, *start);
         }
-        self.advance_seen(now);
+        for end in ends {
+            self.advance_seen(now, end.worker);
+        }
     }
 
     fn number(&mut self) -> u64 {
@@ -253,13 +282,14 @@
 
     fn maybe_plan(&mut self, now: Now, state: &State) {
         let passed = now.at.since(self.planned_at);
-        let is_due = self.dirty && passed >= PLAN_EVERY || passed >= PLAN_IDLE;
+        let is_due = self.dirty && passed >= self.plan_pause || passed >= PLAN_IDLE;
         if !is_due {
             return;
         }
         self.dirty = false;
         self.planned_at = now.at;
-        let starts = self.plan(now, state);
+        let (starts, work) = self.plan(now, state);
+        self.plan_pause = (PLAN_EVERY + PLAN_WORK * work).min(PLAN_IDLE);
         let ends = std::mem::take(&mut self.ends);
         if !starts.is_empty() || !ends.is_empty() {
             let at_ms = now.wall_ms;
@@ -275,7 +305,7 @@
     /// Returns when the next call of [`Lead::tick`] is worth it, at the latest.
     pub fn wake_at(&self) -> Moment {
         if self.dirty {
-            self.planned_at + PLAN_EVERY
+            self.planned_at + self.plan_pause
         } else {
             self.planned_at + PLAN_IDLE
         }
--- a/src/core/plane/lead/permits.rs
+++ b/src/core/plane/lead/permits.rs
@@ -134,6 +134,31 @@
         (now < permit.until).then_some(permit)
     }
 
+    /// Leaves a step alone for a while.
+    pub fn defer(&mut self, step: StepName, until: Moment) {
+        let known = self.steps.entry(step).or_default();
+        known.retry_at = known.retry_at.max(until);
+    }
+
+    /// Returns whether a question for the step is under way or is not to be asked yet.
+    pub fn is_waiting(&self, now: Moment, step: StepName) -> bool {
+        let known = self.steps.get(&step);
+        known.is_some_and(|known| known.asking || now < known.retry_at)
+    }
+
+    /// Returns the workers with a permit that is valid now.
+    pub fn valid_workers(&self, now: Moment, step: StepName) -> Vec<WorkerKey> {
+        let Some(known) = self.steps.get(&step) else {
+            return Vec::new();
+        };
+        known
+            .good
+            .iter()
+            .filter(|(_, permit)| now < permit.until)
+            .map(|(&key, _)| key)
+            .collect()
+    }
+
     /// Drops a permit that a worker refused.
     pub fn revoke(&mut self, step: StepName, worker: WorkerKey) {
         if let Some(known) = self.steps.get_mut(&step)
@@ -158,9 +183,7 @@
         terms: Permission,
         named: Vec<(WorkerKey, String)>,
     ) -> Option<(InstanceId, Question)> {
-        let known = self.steps.get(&step);
-        let is_busy = known.is_some_and(|known| known.asking || now < known.retry_at);
-        if is_busy || named.is_empty() {
+        if self.is_waiting(now, step) || named.is_empty() {
             return None;
         }
         let cost = expected(terms, named.len().min(NAMED_MAX));
--- a/src/core/plane/lead/place.rs
+++ b/src/core/plane/lead/place.rs
@@ -4,6 +4,7 @@
 //! leave the least room, so that whole holes stay for large ones, and a gang that
 //! does not fit yet keeps later work off the workers it is closest to fitting on.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 
 use crate::core::plane::types::{Amount, WorkerKey};
@@ -61,28 +62,52 @@
 /// All workers that may get work now.
 #[derive(Clone, Debug, Default)]
 pub struct Seats {
-    seats: BTreeMap<WorkerKey, Seat>,
+    /// By key; keys of workers that get nothing now hold none.
+    seats: Vec<Option<Seat>>,
+    work: Cell<u32>,
 }
 
 impl Seats {
     /// Adds a worker.
     pub fn add(&mut self, worker: WorkerKey, seat: Seat) {
-        self.seats.insert(worker, seat);
+        let at = worker.0 as usize;
+        if self.seats.len() <= at {
+            self.seats.resize(at + 1, None);
+        }
+        self.seats[at] = Some(seat);
     }
 
     /// Returns a worker.
     pub fn get(&self, worker: WorkerKey) -> Option<&Seat> {
-        self.seats.get(&worker)
+        self.seats.get(worker.0 as usize)?.as_ref()
+    }
+
+    fn get_mut(&mut self, worker: WorkerKey) -> Option<&mut Seat> {
+        self.seats.get_mut(worker.0 as usize)?.as_mut()
     }
 
     /// Returns all workers.
     pub fn iter(&self) -> impl Iterator<Item = (WorkerKey, &Seat)> {
-        self.seats.iter().map(|(&key, seat)| (key, seat))
+        (0..)
+            .map(WorkerKey)
+            .zip(&self.seats)
+            .filter_map(|(key, seat)| Some((key, seat.as_ref()?)))
+    }
+
+    /// Returns how many workers have been looked at.
+    pub const fn work(&self) -> u32 {
+        self.work.get()
+    }
+
+    /// Counts workers that are looked at.
+    pub fn count(&self, workers: usize) {
+        self.work
+            .set(self.work.get().saturating_add(workers as u32));
     }
 
     /// Takes room on a worker.
     pub fn take(&mut self, worker: WorkerKey, what: &Candidate) {
-        if let Some(seat) = self.seats.get_mut(&worker) {
+        if let Some(seat) = self.get_mut(worker) {
             seat.free -= what.room;
             seat.free_later -= what.room;
             seat.serving |= what.serving;
@@ -127,7 +152,7 @@
     ) -> Option<Vec<WorkerKey>> {
         let mut racks: BTreeMap<u32, Vec<WorkerKey>> = BTreeMap::new();
         for &key in allowed {
-            if let Some(seat) = self.seats.get(&key) {
+            if let Some(seat) = self.get(key) {
                 racks.entry(seat.rack).or_default().push(key);
             }
         }
@@ -147,15 +172,17 @@
         let mut seats: Vec<(WorkerKey, Seat, u16)> = allowed
             .iter()
             .filter_map(|&key| {
-                let seat = self.seats.get(&key)?.clone();
-                Self::fits(&seat, what).then(|| {
+                let seat = self.get(key)?;
+                Self::fits(seat, what).then(|| {
                     let here = present.get(&key).copied().unwrap_or(0);
-                    (key, seat, here)
+                    (key, seat.clone(), here)
                 })
             })
             .collect();
+        self.count(allowed.len());
         let mut found = Vec::new();
         while found.len() < count {
+            self.count(seats.len());
             let best = seats
                 .iter_mut()
                 .filter(|(_, seat, here)| {
@@ -179,7 +206,7 @@
         let mut closest: Vec<(i64, WorkerKey)> = allowed
             .iter()
             .filter_map(|&key| {
-                let seat = self.seats.get(&key)?;
+                let seat = self.get(key)?;
                 what.room
                     .fits(&seat.capacity)
                     .then_some((seat.free.cpu, key))
@@ -191,7 +218,7 @@
             if left == 0 {
                 return;
             }
-            let seat = self.seats.get_mut(&key).expect("listed above");
+            let seat = self.get_mut(key).expect("listed above");
             let each = seat.capacity.cpu / what.room.cpu.max(1);
             let here = usize::try_from(each).unwrap_or(1).clamp(1, left);
             // Urgent work may still take the room.
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::time::Duration;
 
 use super::io::Effect;
 use super::order::{Age, Rank, rank};
@@ -26,6 +28,21 @@
 /// Workers named again beside those that are needed, in case some fill up.
 const SPARE_NAMED: usize = 2;
 
+/// Workers and steps that one round looks at before it ends; the next goes on.
+const WORK_MAX: u32 = 60_000;
+/// A step that permits would not let start is looked at again after this.
+const ASK_AGAIN: Duration = Duration::from_millis(60);
+
+/// What one round has come to.
+struct Round {
+    seats: Seats,
+    /// Steps for which room is kept.
+    kept: usize,
+    starts: Vec<Start>,
+    /// Workers by service and label.
+    eligible: HashMap<(String, Option<String>), Rc<Vec<WorkerKey>>>,
+}
+
 struct Waiting {
     rank: Rank,
     step: StepName,
@@ -33,28 +50,28 @@
 }
 
 impl Lead {
-    pub(super) fn plan(&mut self, now: Now, state: &State) -> Vec<Start> {
+    /// Plans one round. Returns the starts and how many workers and steps it looked at.
+    pub(super) fn plan(&mut self, now: Now, state: &State) -> (Vec<Start>, u32) {
         let mut waiting = self.waiting_steps(now, state);
         if waiting.is_empty() {
-            return Vec::new();
+            return (Vec::new(), 0);
         }
         waiting.sort_unstable_by_key(|w| (w.rank, w.step));
-        let mut racks = HashMap::new();
-        let mut seats = self.seats(now, state, &mut racks);
-        let mut kept = 0;
-        let mut starts = Vec::new();
-        for step in waiting {
-            self.plan_step(
-                now,
-                state,
-                &step,
-                &racks,
-                &mut seats,
-                &mut kept,
-                &mut starts,
-            );
+        let seats = self.seats(now, state);
+        seats.count(waiting.len() + self.channels.len());
+        let mut round = Round {
+            seats,
+            kept: 0,
+            starts: Vec::new(),
+            eligible: HashMap::new(),
+        };
+        for step in &waiting {
+            self.plan_step(now, state, step, &mut round);
+            if round.seats.work() > WORK_MAX {
+                break;
+            }
         }
-        starts
+        (round.starts, round.seats.work())
     }
 
     fn waiting_steps(&self, now: Now, state: &State) -> Vec<Waiting> {
@@ -112,121 +129,82 @@
         rank(now.wall_ms, age, queue.priority, over_share)
     }
 
-    fn seats(&mut self, now: Now, state: &State, racks: &mut HashMap<String, u32>) -> Seats {
-        let urgent: i64 = self
-            .channels
-            .values()
-            .flat_map(|c| c.live.values())
-            .map(|live| live.urgent_cpu)
-            .sum();
+    fn seats(&mut self, now: Now, state: &State) -> Seats {
+        let urgent: i64 = self.channels.values().map(|c| c.urgent_cpu).sum();
         self.urgent_use = (self.urgent_use * (1.0 - URGENT_DECAY)).max(urgent as f64);
-        let usable: Vec<WorkerKey> = self
-            .channels
-            .iter()
-            .filter(|(_, channel)| channel.is_usable(now.at))
-            .map(|(&key, _)| key)
-            .filter(|&key| {
-                let worker = state.worker(key);
-                !worker.gone && !worker.report.draining
-            })
-            .collect();
-        let each = self.urgent_use * URGENT_MARGIN / usable.len().max(1) as f64;
         let mut seats = Seats::default();
-        for key in usable {
-            let channel = &self.channels[&key];
+        let each = self.urgent_use * URGENT_MARGIN / self.channels.len().max(1) as f64;
+        for (&key, channel) in &self.channels {
             let worker = state.worker(key);
-            let next = racks.len() as u32;
-            let rack = worker.rack().unwrap_or_default();
-            let rack = *racks.entry(rack.to_owned()).or_insert(next);
+            if worker.gone || worker.report.draining || !channel.is_usable(now.at) {
+                continue;
+            }
             let capacity = worker.report.capacity;
             let free = capacity - worker.used - channel.reserved;
-            let used: i64 = channel.live.values().map(|live| live.urgent_cpu).sum();
-            let kept = each.min(capacity.cpu as f64 * URGENT_SHARE_MAX) as i64 - used;
+            let most = capacity.cpu as f64 * URGENT_SHARE_MAX;
+            let kept = each.min(most) as i64 - channel.urgent_cpu;
             let mut free_later = free;
             free_later.cpu -= kept.max(0);
-            let has = |f: fn(&StepSpec) -> bool| {
-                worker.runs.keys().any(|task| {
-                    let job = state.jobs.get(&task.step.job);
-                    job.and_then(|j| j.step(task.step))
-                        .is_some_and(|(s, _)| f(s))
-                })
-            };
-            let lasting = state.plan.services.len() > 1 || has(|s| s.lasting || s.filling);
             let seat = Seat {
                 capacity,
                 free,
                 free_later,
-                rack,
+                rack: channel.rack,
                 slowness: channel.slowness,
                 failures: channel.failures,
-                serving: lasting && has(|s| s.target_ms > 0),
-                filling: lasting && has(|s| s.filling),
+                serving: channel.serving > 0,
+                filling: channel.filling > 0,
             };
             seats.add(key, seat);
         }
         seats
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the state of one round")]
-    fn plan_step(
-        &mut self,
-        now: Now,
-        state: &State,
-        waiting: &Waiting,
-        racks: &HashMap<String, u32>,
-        seats: &mut Seats,
-        kept: &mut usize,
-        starts: &mut Vec<Start>,
-    ) {
+    fn plan_step(&mut self, now: Now, state: &State, waiting: &Waiting, round: &mut Round) {
         let name = waiting.step;
         let job = &state.jobs[&name.job];
         let Some((spec, _)) = job.step(name) else {
             return;
         };
         let queue = state.queue(job.queue);
-        let what = candidate(spec, queue, racks, self.bounds.far);
-        let eligible = eligible(state, seats, job, spec);
-        let allowed = match queue.permission {
-            None => eligible.clone(),
-            Some(_) => self.permitted(now, name, &eligible),
-        };
+        let permitted = queue
+            .permission
+            .map(|_| self.permits.valid_workers(now.at, name));
+        if permitted.as_ref().is_some_and(Vec::is_empty) && self.permits.is_waiting(now.at, name) {
+            return;
+        }
+        let what = candidate(spec, queue, &self.racks, self.bounds.far);
         let count = self.within_cap(state, job, spec, waiting.count);
+        let eligible = eligible(state, round, job, spec);
+        let allowed = permitted.as_ref().unwrap_or(&eligible);
         let present = self.present(state, name, spec);
-        let found = seats.find(&what, count, &allowed, &present);
+        let found = round.seats.find(&what, count, allowed, &present);
         let whole = found.len() == waiting.count;
         if !spec.gang || whole {
-            self.start_tasks(state, name, &found, &what, seats, starts);
+            self.start_tasks(state, name, &found, &what, round);
         }
         if whole || count == 0 {
             return;
         }
         let placed = if spec.gang { 0 } else { found.len() };
         if let Some(terms) = queue.permission {
+            let seats = &round.seats;
             self.ask_more(now, state, waiting, &what, terms, &eligible, seats, placed);
         }
-        if spec.gang && *kept < KEEP_MAX && waiting.rank.lateness < 2 {
-            *kept += 1;
-            let likely = self.known_good(name, &eligible).unwrap_or(eligible);
-            seats.keep(&what, waiting.count, &likely);
+        if spec.gang && round.kept < KEEP_MAX && waiting.rank.lateness < 2 {
+            round.kept += 1;
+            match self.known_good(name, &round.seats) {
+                Some(good) => round.seats.keep(&what, waiting.count, &good),
+                None => round.seats.keep(&what, waiting.count, &eligible),
+            }
         }
     }
 
-    // Workers with a permit that is valid now.
-    fn permitted(&self, now: Now, step: StepName, eligible: &[WorkerKey]) -> Vec<WorkerKey> {
-        eligible
-            .iter()
-            .copied()
-            .filter(|&key| self.permits.valid(now.at, step, key).is_some())
-            .collect()
-    }
-
-    fn known_good(&self, step: StepName, eligible: &[WorkerKey]) -> Option<Vec<WorkerKey>> {
+    // Workers that may run a step and could get work.
+    fn known_good(&self, step: StepName, seats: &Seats) -> Option<Vec<WorkerKey>> {
         let known = self.permits.known(step)?;
-        let good: Vec<WorkerKey> = eligible
-            .iter()
-            .copied()
-            .filter(|key| known.good.contains_key(key))
-            .collect();
+        let good = known.good.keys().copied();
+        let good: Vec<WorkerKey> = good.filter(|&key| seats.get(key).is_some()).collect();
         (!good.is_empty()).then_some(good)
     }
 
@@ -245,10 +223,12 @@
         placed: usize,
     ) {
         let step = waiting.step;
+        if self.permits.is_waiting(now.at, step) {
+            return;
+        }
         let most = named_count(terms);
         let wanted = waiting.count - placed;
         let mut named: Vec<WorkerKey> = match self.permits.known(step) {
-            Some(known) if known.asking => return,
             Some(known) if !known.good.is_empty() || !known.bad.is_empty() => {
                 let (good, others): (Vec<WorkerKey>, Vec<WorkerKey>) = eligible
                     .iter()
@@ -259,6 +239,11 @@
             }
             _ => eligible.to_vec(),
         };
+        seats.count(eligible.len());
+        if named.is_empty() {
+            self.permits.defer(step, now.at + ASK_AGAIN);
+            return;
+        }
         if named.len() > most {
             // A different sample for each step spreads the load, and workers with
             // room come first.
@@ -359,8 +344,7 @@
         name: StepName,
         found: &[WorkerKey],
         what: &Candidate,
-        seats: &mut Seats,
-        starts: &mut Vec<Start>,
+        round: &mut Round,
     ) {
         let job = &state.jobs[&name.job];
         let Some((spec, step)) = job.step(name) else {
@@ -382,7 +366,7 @@
             })
             .collect();
         for (index, run, worker) in pairs {
-            seats.take(worker, what);
+            round.seats.take(worker, what);
             let task = TaskName { step: name, index };
             self.reserve(
                 task,
@@ -391,7 +375,7 @@
                 spec.need,
                 job.account.map(|a| a.0),
             );
-            starts.push(Start { task, run, worker });
+            round.starts.push(Start { task, run, worker });
         }
     }
 
@@ -458,19 +442,28 @@
     }
 }
 
-fn eligible(state: &State, seats: &Seats, job: &Job, spec: &StepSpec) -> Vec<WorkerKey> {
+// Workers of the job's service with the step's label, found once a round.
+fn eligible(state: &State, round: &mut Round, job: &Job, spec: &StepSpec) -> Rc<Vec<WorkerKey>> {
     let service = state.service_of(job.queue);
-    seats
-        .iter()
-        .filter(|(key, seat)| {
-            let report = &state.worker(*key).report;
-            let has_label = |label: &String| report.labels.contains(label);
-            report.service == service
-                && spec.label.as_ref().is_none_or(has_label)
-                && spec.room().fits(&seat.capacity)
-        })
-        .map(|(key, _)| key)
-        .collect()
+    let key = (service.to_owned(), spec.label.clone());
+    if let Some(known) = round.eligible.get(&key) {
+        return Rc::clone(known);
+    }
+    let has_label = |labels: &[String]| {
+        let label = spec.label.as_ref();
+        label.is_none_or(|label| labels.contains(label))
+    };
+    let found: Rc<Vec<WorkerKey>> = Rc::new(
+        round
+            .seats
+            .iter()
+            .map(|(key, _)| (key, &state.worker(key).report))
+            .filter(|(_, report)| report.service == service && has_label(&report.labels))
+            .map(|(key, _)| key)
+            .collect(),
+    );
+    round.eligible.insert(key, Rc::clone(&found));
+    found
 }
 
 // Accounts that use more than their weighted share of the processors in use.
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use super::channel::{Channel, Live};
+use super::channel::{Channel, Live, Nature};
 use super::io::{Declined, Effect, EndRow, Lists, Note, Order, Reply, RunningRow, Sent, Work};
 use super::{Lead, Now};
 use crate::core::plane::job::{Phase, Standing};
 use crate::core::plane::state::{Command, End, Start, State};
-use crate::core::plane::types::{How, TaskName, WorkerKey};
+use crate::core::plane::types::{How, JobId, StepName, TaskName, WorkerKey};
 use crate::core::time::Moment;
 
 /// Longest time that a look waits for an end. Each look lengthens the lease, so
@@ -30,16 +30,22 @@
 const STUCK_MIN: Duration = Duration::from_millis(2_500);
 /// Part of the expected run time that a run may be without progress.
 const STUCK_SHARE: f64 = 0.25;
+/// Interval at which runs are checked for stops without an answer and for progress.
+const CHECK_RUNS_EVERY: Duration = Duration::from_millis(100);
 /// Ends that one list holds at most.
 const ENDS_MAX: usize = 500;
 
 impl Lead {
     pub(super) fn tick_workers(&mut self, now: Now, state: &State) {
+        let check_runs = now.at.since(self.runs_checked_at) >= CHECK_RUNS_EVERY;
+        if check_runs {
+            self.runs_checked_at = now.at;
+        }
         let keys: Vec<WorkerKey> = self.channels.keys().copied().collect();
         for key in keys {
             let worker = state.worker(key);
             let channel = self.channels.get_mut(&key).expect("listed above");
-            if worker.gone && channel.live.is_empty() {
+            if worker.gone && channel.live().is_empty() {
                 self.channels.remove(&key);
                 continue;
             }
@@ -52,14 +58,16 @@
                 continue;
             }
             let unheard = !channel.adopted || channel.unanswered_since.is_some();
-            if unheard && !channel.live.is_empty() && channel.has_lapsed(now.at) {
+            if unheard && !channel.live().is_empty() && channel.has_lapsed(now.at) {
                 self.void_all(key, state, "a lapsed lease");
             }
             let channel = self.channels.get_mut(&key).expect("still there");
             if channel.look.is_none() && now.at >= channel.look_at && !worker.gone {
                 self.look(now, state, key);
             }
-            self.tick_runs(now, state, key);
+            if check_runs {
+                self.tick_runs(now, state, key);
+            }
         }
         self.permits.retain(|step| state.open.contains(&step.job));
     }
@@ -67,7 +75,7 @@
     fn tick_runs(&mut self, now: Now, state: &State, key: WorkerKey) {
         let channel = &self.channels[&key];
         let mut stops = Vec::new();
-        for (&task, live) in &channel.live {
+        for (&task, live) in channel.live() {
             if live.ending {
                 continue;
             }
@@ -123,12 +131,12 @@
         let channel = self.channels.get_mut(&key).expect("known worker");
         // A worker that does not answer may hear all the same. Its lease is not
         // lengthened, so that its runs lapse and can start elsewhere.
-        let until = if channel.is_silent(now.at) || channel.live.is_empty() {
+        let until = if channel.is_silent(now.at) || channel.live().is_empty() {
             None
         } else {
             channel.lease_end(now.at, hold)
         };
-        let is_idle = channel.live.is_empty();
+        let is_idle = channel.live().is_empty();
         let wait = if channel.adopted && !is_idle && channel.unanswered_since.is_none() {
             LOOK_WAIT
         } else {
@@ -157,16 +165,15 @@
         let Some(channel) = self.channels.get_mut(&worker) else {
             return;
         };
-        let mut live = Live {
+        let live = Live {
             run,
             ordered_at: now.at,
+            nature: nature(state, task, record.room.cpu),
             ..Live::default()
         };
         let job = &state.jobs[&task.step.job];
-        if !job.standing.is_final() && state.queue(job.queue).priority == 0 {
-            live.urgent_cpu = record.room.cpu;
-        }
-        channel.live.insert(task, live);
+        channel.insert(task, live);
+        self.places.insert((task, worker));
         let wanted = state.is_wanted(worker, task, run);
         let until = channel.lease_end(now.at, self.bounds.hold);
         let (Some(until), true, false) = (until, wanted, place.gone) else {
@@ -214,7 +221,7 @@
         why: &'static str,
     ) {
         if let Some(channel) = self.channels.get_mut(&key)
-            && let Some(live) = channel.live.get_mut(&task).filter(|l| l.run == run)
+            && let Some(live) = channel.run_mut(task, run)
         {
             live.stop_at = Some(now.at);
         }
@@ -233,22 +240,32 @@
         self.order(now, state, key, sent, Work::Stop { task, run });
     }
 
-    /// Stops runs of jobs that were given up or failed, and of gangs that broke.
-    pub(super) fn stop_unwanted(&mut self, now: Now, state: &State) {
-        let mut stops = Vec::new();
-        for (&key, channel) in &self.channels {
-            for (&task, live) in &channel.live {
-                if live.ending || live.stop_at.is_some() {
-                    continue;
-                }
-                if !state.is_wanted(key, task, live.run) && !ends_by_itself(state, task) {
-                    stops.push((key, task, live.run));
-                }
+    /// Stops runs of a job that are no longer wanted, as it was given up or failed or
+    /// its gang broke.
+    pub(super) fn stop_unwanted(&mut self, now: Now, state: &State, job: JobId) {
+        let first = TaskName {
+            step: StepName {
+                job,
+                ..StepName::default()
+            },
+            index: 0,
+        };
+        let places: Vec<(TaskName, WorkerKey)> = self
+            .places
+            .range((first, WorkerKey(0))..)
+            .take_while(|(task, _)| task.step.job == job)
+            .copied()
+            .collect();
+        for (task, key) in places {
+            let found = self.channels.get(&key).and_then(|c| c.live().get(&task));
+            let Some(live) = found.filter(|l| !l.ending && l.stop_at.is_none()) else {
+                continue;
+            };
+            let run = live.run;
+            if !state.is_wanted(key, task, run) && !ends_by_itself(state, task) {
+                self.stop(now, state, key, task, run, "no longer wanted");
             }
         }
-        for (key, task, run) in stops {
-            self.stop(now, state, key, task, run, "no longer wanted");
-        }
     }
 
     pub(super) fn take_reply(&mut self, now: Now, state: &State, number: u64, reply: Reply) {
@@ -304,7 +321,7 @@
             Reply::Done(clock) => {
                 let channel = self.channels.get_mut(&key).expect("known worker");
                 channel.hear(now.at, *clock);
-                if let Some(live) = channel.live.get_mut(&task).filter(|l| l.run == run) {
+                if let Some(live) = channel.run_mut(task, run) {
                     live.confirmed_at.get_or_insert(now.at);
                 }
             }
@@ -316,7 +333,7 @@
             Reply::NoAnswer | Reply::Replaced | Reply::Lists(..) => {
                 self.missed(now, state, sent);
                 let channel = self.channels.get_mut(&key).expect("known worker");
-                if let Some(live) = channel.live.get_mut(&task).filter(|l| l.run == run) {
+                if let Some(live) = channel.run_mut(task, run) {
                     live.in_doubt = true;
                 }
                 channel.look_at = channel.look_at.min(now.at);
@@ -358,7 +375,7 @@
         let channel = self.channels.get_mut(&sent.worker).expect("known worker");
         if let Reply::Done(clock) = reply {
             channel.hear(now.at, *clock);
-            if let Some(live) = channel.live.get_mut(&task).filter(|l| l.run == run) {
+            if let Some(live) = channel.run_mut(task, run) {
                 live.stopped_at = Some(now.at);
             }
             if channel.look.is_none() {
@@ -403,11 +420,11 @@
 
     fn schedule_look(&mut self, now: Now, key: WorkerKey) {
         let channel = self.channels.get_mut(&key).expect("known worker");
-        let is_storing = channel.live.values().any(|live| live.ending);
+        let is_storing = channel.is_storing();
         channel.look_at = if is_storing {
             // Brought forward once the ends are stored.
             now.at + ANSWER_TIMEOUT
-        } else if !channel.live.is_empty() {
+        } else if !channel.live().is_empty() {
             now.at
         } else if channel.seen > channel.told_seen {
             now.at + TELL_SEEN_AFTER
@@ -434,13 +451,12 @@
         if lists.ended.len() < ENDS_MAX {
             self.take_absent(now, state, key, sent_at, first, lists);
         }
-        self.advance_seen(now);
+        self.advance_seen(now, key);
     }
 
     fn take_running(&mut self, now: Now, state: &State, key: WorkerKey, row: &RunningRow) {
         let channel = self.channels.get_mut(&key).expect("known worker");
-        let live = channel.live.get_mut(&row.task);
-        let Some(live) = live.filter(|live| live.run == row.run) else {
+        let Some(live) = channel.run_mut(row.task, row.run) else {
             self.stop(now, state, key, row.task, row.run, "not known here");
             return;
         };
@@ -456,12 +472,10 @@
     fn take_end(&mut self, now: Now, state: &State, key: WorkerKey, row: &EndRow) {
         let channel = self.channels.get_mut(&key).expect("known worker");
         channel.proposed = channel.proposed.max(row.number);
-        let live = channel.live.get_mut(&row.task);
-        let Some(live) = live.filter(|live| live.run == row.run && !live.ending) else {
+        if !channel.begin_end(row.task, row.run) {
             return;
-        };
-        live.ending = true;
-        let live = *live;
+        }
+        let live = channel.live()[&row.task];
         self.learn_from_end(now, state, key, row, &live);
         self.note(Note::Ended {
             task: row.task.to_string(),
@@ -543,7 +557,7 @@
         let before = |at: Option<Moment>| at.is_some_and(|at| at < sent_at);
         let mut voids = Vec::new();
         let mut stops = Vec::new();
-        for (&task, live) in &channel.live {
+        for (&task, live) in channel.live() {
             let is_listed = lists
                 .running
                 .iter()
@@ -575,11 +589,9 @@
         let Some(channel) = self.channels.get_mut(&key) else {
             return;
         };
-        let live = channel.live.get_mut(&task);
-        let Some(live) = live.filter(|live| live.run == run && !live.ending) else {
+        if !channel.begin_end(task, run) {
             return;
-        };
-        live.ending = true;
+        }
         self.ends.push(End {
             task,
             run,
@@ -600,7 +612,7 @@
     fn void_all(&mut self, key: WorkerKey, state: &State, by: &'static str) {
         let channel = &self.channels[&key];
         let runs: Vec<(TaskName, u32)> = channel
-            .live
+            .live()
             .iter()
             .filter(|(_, live)| !live.ending)
             .map(|(&task, live)| (task, live.run))
@@ -627,39 +639,38 @@
             return;
         }
         if let Some(channel) = self.channels.get_mut(&end.worker)
-            && channel
-                .live
-                .get(&end.task)
-                .is_some_and(|l| l.run == end.run)
+            && channel.run_mut(end.task, end.run).is_some()
         {
-            channel.live.remove(&end.task);
+            channel.remove(end.task);
+            self.places.remove(&(end.task, end.worker));
         }
     }
 
-    /// Lets workers know which ends are stored.
-    pub(super) fn advance_seen(&mut self, now: Now) {
-        for channel in self.channels.values_mut() {
-            let is_storing = channel.live.values().any(|live| live.ending);
-            if is_storing || channel.seen >= channel.proposed {
-                continue;
-            }
-            channel.seen = channel.proposed;
-            let delay = if channel.live.is_empty() {
-                TELL_SEEN_AFTER
-            } else {
-                Duration::ZERO
-            };
-            channel.look_at = channel.look_at.min(now.at + delay);
+    /// Lets a worker know which of its ends are stored.
+    pub(super) fn advance_seen(&mut self, now: Now, key: WorkerKey) {
+        let Some(channel) = self.channels.get_mut(&key) else {
+            return;
+        };
+        if channel.is_storing() || channel.seen >= channel.proposed {
+            return;
         }
+        channel.seen = channel.proposed;
+        let delay = if channel.live().is_empty() {
+            TELL_SEEN_AFTER
+        } else {
+            Duration::ZERO
+        };
+        channel.look_at = channel.look_at.min(now.at + delay);
     }
 
     pub(super) fn registered(&mut self, now: Now, state: &State, id: &str) {
         let Some(&key) = state.worker_keys.get(id) else {
             return;
         };
-        let fresh = Channel::new(now.at, now.at);
-        self.channels.entry(key).or_insert(fresh);
         let worker = state.worker(key);
+        let rack = self.rack(worker);
+        let fresh = Channel::new(now.at, now.at, rack);
+        self.channels.entry(key).or_insert(fresh);
         let gone: Vec<WorkerKey> = state
             .live_workers()
             .filter(|(other, w)| {
@@ -690,6 +701,22 @@
     }
 }
 
+/// Returns what a task's run is to placing.
+pub(super) fn nature(state: &State, task: TaskName, cpu: i64) -> Nature {
+    let Some(job) = state.jobs.get(&task.step.job) else {
+        return Nature::default();
+    };
+    let Some((spec, _)) = job.step(task.step) else {
+        return Nature::default();
+    };
+    let is_urgent = state.queue(job.queue).priority == 0;
+    Nature {
+        urgent_cpu: if is_urgent { cpu } else { 0 },
+        serving: spec.target_ms > 0,
+        filling: spec.filling,
+    }
+}
+
 // Members of a gang that is done end on their own.
 fn ends_by_itself(state: &State, task: TaskName) -> bool {
     state.jobs.get(&task.step.job).is_none_or(|job| {
--- a/tests/plane.rs
+++ b/tests/plane.rs
@@ -146,7 +146,10 @@
         cell.run_for(50);
     }
     cell.run_for(4_000);
-    assert!(cell.unfinished().is_empty(), "no job is given up for a worker's fault");
+    assert!(
+        cell.unfinished().is_empty(),
+        "no job is given up for a worker's fault"
+    );
     let starts = cell.workers[2].starts;
     assert!(starts <= 12, "{starts} starts on a worker that fails all");
 }
@@ -184,7 +187,10 @@
     took.sort_unstable();
     let p95 = took[took.len() * 95 / 100];
     // A calm day needs two commits, a question of 13 ms and the ways.
-    assert!(p95 <= 120, "urgent jobs wait {p95} ms for their first start");
+    assert!(
+        p95 <= 120,
+        "urgent jobs wait {p95} ms for their first start"
+    );
 }
 
 #[test]
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -70,7 +70,9 @@
     }
 
     fn used(&self) -> Amount {
-        self.runs.values().fold(Amount::default(), |sum, run| sum + run.room)
+        self.runs
+            .values()
+            .fold(Amount::default(), |sum, run| sum + run.room)
     }
 
     fn end(&mut self, task: TaskName, run: u32, how: How) {
@@ -313,7 +315,11 @@
     pub fn cancel(&mut self, queue: &str, id: u64) {
         let path = format!("/{queue}/{}", JobId(id));
         let call = self.request(&path, Action::Cancel);
-        if self.answers.get(&call).is_none_or(|answer| *answer == Answer::Done) {
+        if self
+            .answers
+            .get(&call)
+            .is_none_or(|answer| *answer == Answer::Done)
+        {
             self.cancelled.insert(JobId(id));
         }
     }
@@ -375,7 +381,10 @@
         } else {
             WAY_MS
         };
-        let at = self.workers.iter().position(|w| w.report.address == order.address);
+        let at = self
+            .workers
+            .iter()
+            .position(|w| w.report.address == order.address);
         if let Some(at) = at {
             self.schedule(delay, Event::Arrive(Box::new(order), at as u64));
         }
@@ -385,7 +394,13 @@
         let cost = self.cost(question);
         self.questions += 1;
         self.asked_ms += cost as f64;
-        let free = self.asker_free.get(&asker).copied().unwrap_or(0).max(self.now) + cost;
+        let free = self
+            .asker_free
+            .get(&asker)
+            .copied()
+            .unwrap_or(0)
+            .max(self.now)
+            + cost;
         self.asker_free.insert(asker, free);
         // Two workers of three may run a step.
         let granted = question
@@ -562,7 +577,11 @@
         if worker.runs.get(&task).is_some_and(|r| r.run == run) {
             return Reply::Done(clock);
         }
-        if worker.barred.get(&task).is_some_and(|&barred| run <= barred) {
+        if worker
+            .barred
+            .get(&task)
+            .is_some_and(|&barred| run <= barred)
+        {
             return Reply::Declined(Declined::Old);
         }
         if until <= clock {
@@ -581,15 +600,22 @@
             self.now,
             elsewhere.expect("found").report.id
         );
-        assert!(!self.done_noted.contains(&task), "{task} starts after its end was noted");
+        assert!(
+            !self.done_noted.contains(&task),
+            "{task} starts after its end was noted"
+        );
         let failed = self.failed_noted.get(&task).copied().unwrap_or(0);
         assert!(failed < 3, "{task} starts after {failed} failures");
         let used = worker.used() + spec.room();
-        assert!(used.fits(&worker.report.capacity), "{} is over its capacity", worker.report.id);
+        assert!(
+            used.fits(&worker.report.capacity),
+            "{} is over its capacity",
+            worker.report.id
+        );
         for before in &spec.after {
             let job = &self.state.jobs[&task.step.job];
-            let done = job.occurrences.is_empty()
-                || job.occurrences[0][usize::from(*before)].is_done();
+            let done =
+                job.occurrences.is_empty() || job.occurrences[0][usize::from(*before)].is_done();
             assert!(done, "{task} starts before step {before} is done");
         }
         let needed: Amount = self
@@ -599,7 +625,10 @@
             .flat_map(|w| w.runs.values())
             .fold(spec.need, |sum, run| sum + run.room);
         let cap = self.state.accounts[0].cap;
-        assert!(needed.is_within_cap(&cap), "the account is over its cap: {needed:?}");
+        assert!(
+            needed.is_within_cap(&cap),
+            "the account is over its cap: {needed:?}"
+        );
         self.first_start.entry(task.step).or_insert(self.now);
         let ms = self.durations[&task.step.job];
         let worker = &mut self.workers[at];
@@ -673,7 +702,11 @@
 
     /// Returns runs on workers that are up.
     pub fn running(&self) -> usize {
-        self.workers.iter().filter(|w| w.up).map(|w| w.runs.len()).sum()
+        self.workers
+            .iter()
+            .filter(|w| w.up)
+            .map(|w| w.runs.len())
+            .sum()
     }
 
     pub fn draw(&mut self, below: u64) -> u64 {
