Leave unreachable workers alone, and keep room for gangs that wait for permits

Their permits came for just the workers that had room when the question was sent, and some had filled up 600 ms later. Ruled out: caps and leaks of reservations (the jobs' log lines show question after question granted, no start), the order of steps. Change: a worker that could not be reached, or of which nothing was heard for 4 s, gets nothing before it answers a look; room is kept while a gang's question is under way, and a third more workers are named.

--- a/src/core/plane/lead/channel.rs
+++ b/src/core/plane/lead/channel.rs
@@ -8,6 +8,9 @@
 
 /// A worker that left an order unanswered for this long gets nothing new.
 pub const SILENCE_MAX: Duration = Duration::from_millis(1_200);
+/// A worker of which nothing was heard for this long gets nothing new: two of its
+/// reports are missing. It is looked at after half of that.
+const UNHEARD_MAX: Duration = Duration::from_millis(4_000);
 /// Failures in a row after which a worker is left alone.
 const FAILURES_MAX: u32 = 2;
 /// First time that a failing worker is left alone; it doubles with each failure.
@@ -221,11 +224,22 @@
             .is_some_and(|at| now.since(at) > SILENCE_MAX)
     }
 
+    /// Returns whether a worker has neither answered nor reported for `limit`.
+    pub fn is_unheard(&self, now: Moment, limit: Duration) -> bool {
+        now.since(self.heard_at.max(self.reported_at)) >= limit
+    }
+
+    /// Returns whether a look should find out if the worker is still there.
+    pub fn needs_look(&self, now: Moment) -> bool {
+        self.is_unheard(now, UNHEARD_MAX / 2)
+    }
+
     /// Returns whether new runs may be ordered.
     pub fn is_usable(&self, now: Moment) -> bool {
         self.adopted
             && self.unanswered_since.is_none()
             && self.departing.is_none()
+            && !self.is_unheard(now, UNHEARD_MAX)
             && now >= self.avoid_until
             && (self.failures < FAILURES_MAX || self.live.is_empty())
     }
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -25,8 +25,11 @@
 /// Part of the peak of urgent work that is forgotten in a round: half in some ten
 /// seconds at 50 rounds a second.
 const URGENT_DECAY: f64 = 0.0014;
-/// Workers named again beside those that are needed, in case some fill up.
+/// Workers named again beside those that are needed, in case some fill up while the
+/// question is under way.
 const SPARE_NAMED: usize = 2;
+/// Besides, one for this many.
+const SPARE_PART: usize = 3;
 
 /// Workers and steps that one round looks at before it ends; the next goes on.
 const WORK_MAX: u32 = 60_000;
@@ -170,10 +173,11 @@
         let permitted = queue
             .permission
             .map(|_| self.permits.valid_workers(now.at, name));
+        let what = candidate(spec, queue, &self.racks, self.bounds.far);
         if permitted.as_ref().is_some_and(Vec::is_empty) && self.permits.is_waiting(now.at, name) {
+            self.keep_room(waiting, spec, &what, &[], round);
             return;
         }
-        let what = candidate(spec, queue, &self.racks, self.bounds.far);
         let count = self.within_cap(state, job, spec, waiting.count);
         let eligible = eligible(state, round, job, spec);
         let allowed = permitted.as_ref().unwrap_or(&eligible);
@@ -191,12 +195,26 @@
             let seats = &round.seats;
             self.ask_more(now, state, waiting, &what, terms, &eligible, seats, placed);
         }
-        if spec.gang && round.kept < KEEP_MAX && waiting.rank.lateness < 2 {
-            round.kept += 1;
-            match self.known_good(name, &round.seats) {
-                Some(good) => round.seats.keep(&what, waiting.count, &good),
-                None => round.seats.keep(&what, waiting.count, &eligible),
-            }
+        self.keep_room(waiting, spec, &what, &eligible, round);
+    }
+
+    // Keeps room for a gang that does not fit yet or waits for permits, so that later
+    // work does not take it meanwhile.
+    fn keep_room(
+        &self,
+        waiting: &Waiting,
+        spec: &StepSpec,
+        what: &Candidate,
+        eligible: &[WorkerKey],
+        round: &mut Round,
+    ) {
+        if !spec.gang || round.kept >= KEEP_MAX {
+            return;
+        }
+        round.kept += 1;
+        match self.known_good(waiting.step, &round.seats) {
+            Some(good) => round.seats.keep(what, waiting.count, &good),
+            None => round.seats.keep(what, waiting.count, eligible),
         }
     }
 
@@ -289,9 +307,15 @@
             if !fitting.iter().any(has_lapsed) {
                 return Vec::new();
             }
-            let more = good.iter().copied().filter(|k| !fitting.contains(k));
-            let spare: Vec<WorkerKey> = more.take(SPARE_NAMED).collect();
-            fitting.extend(spare);
+            let spare = SPARE_NAMED + fitting.len() / SPARE_PART;
+            let mut more: Vec<WorkerKey> = good
+                .iter()
+                .copied()
+                .filter(|k| !fitting.contains(k))
+                .collect();
+            let room = |key: &WorkerKey| seats.get(*key).map_or(0, |seat| seat.free.cpu);
+            more.sort_by_key(|key| std::cmp::Reverse(room(key)));
+            fitting.extend(more.into_iter().take(spare));
             return fitting;
         }
         let all: Vec<WorkerKey> = good.iter().chain(others).copied().collect();
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -62,7 +62,9 @@
                 self.void_all(key, state, "a lapsed lease");
             }
             let channel = self.channels.get_mut(&key).expect("still there");
-            if channel.look.is_none() && now.at >= channel.look_at && !worker.gone {
+            let is_due = now.at >= channel.look_at
+                || channel.unanswered_since.is_none() && channel.needs_look(now.at);
+            if channel.look.is_none() && is_due && !worker.gone {
                 self.look(now, state, key);
             }
             if check_runs {
@@ -329,18 +331,28 @@
                 self.declined(now, state, key, task, *why);
                 self.void(key, task, run, "declined by its worker");
             }
-            Reply::NotSent => self.void(key, task, run, "not sent"),
+            Reply::NotSent => {
+                self.void(key, task, run, "not sent");
+                self.missed(now, state, sent);
+                self.look_soon(now, key);
+            }
             Reply::NoAnswer | Reply::Replaced | Reply::Lists(..) => {
                 self.missed(now, state, sent);
                 let channel = self.channels.get_mut(&key).expect("known worker");
                 if let Some(live) = channel.run_mut(task, run) {
                     live.in_doubt = true;
                 }
-                channel.look_at = channel.look_at.min(now.at);
+                self.look_soon(now, key);
             }
         }
     }
 
+    // A worker that could not be reached gets nothing before it answers a look.
+    fn look_soon(&mut self, now: Now, key: WorkerKey) {
+        let channel = self.channels.get_mut(&key).expect("known worker");
+        channel.look_at = channel.look_at.min(now.at + LOOK_RETRY);
+    }
+
     fn declined(&mut self, now: Now, state: &State, key: WorkerKey, task: TaskName, why: Declined) {
         let channel = self.channels.get_mut(&key).expect("known worker");
         match why {
@@ -392,9 +404,7 @@
         }
         let Reply::Lists(clock, lists) = reply else {
             channel.look_at = now.at + LOOK_RETRY;
-            if !matches!(reply, Reply::NotSent) {
-                self.missed(now, state, sent);
-            }
+            self.missed(now, state, sent);
             return;
         };
         let born_ms = state.worker(key).report.born_ms;
--- a/tests/plane.rs
+++ b/tests/plane.rs
@@ -221,3 +221,54 @@
     cell.run_for(3_000);
     assert!(cell.unfinished().is_empty());
 }
+
+// Load: gangs that need most of the permitted workers at once, beside a stream of
+// small jobs that would take any room that shows.
+#[test]
+fn a_wide_gang_starts_beside_small_jobs() {
+    let mut cell = cell(7, 24);
+    let step = StepSpec {
+        gang: true,
+        ..tasks(12, 14, 2_000)
+    };
+    for at in 0..40 {
+        cell.submit("batch", 100 + at, vec![tasks(8, 3, 1_500)], 1_500);
+    }
+    cell.run_for(300);
+    for id in 1..=3 {
+        cell.submit("gang", id, vec![step.clone()], 2_000);
+    }
+    for at in 0..400 {
+        cell.submit("batch", 1_000 + at, vec![tasks(3, 3, 1_500)], 1_500);
+        cell.run_for(40);
+    }
+    for id in 1..=3 {
+        let name = StepName {
+            job: JobId(id),
+            ..StepName::default()
+        };
+        let at = cell.first_start.get(&name);
+        assert!(at.is_some(), "gang {id} never started");
+    }
+}
+
+// A worker that cannot be reached must not be tried again for every task.
+#[test]
+fn an_unreachable_worker_breaks_few_gangs() {
+    let mut cell = cell(8, 12);
+    cell.workers[3].cut_until = cell.now + 20_000;
+    cell.workers[4].cut_until = cell.now + 20_000;
+    cell.refuse_cut = true;
+    for id in 1..=30 {
+        let step = StepSpec {
+            gang: true,
+            ..tasks(8, 9, 500)
+        };
+        cell.submit("gang", id, vec![step], 500);
+        cell.run_for(300);
+    }
+    cell.run_for(3_000);
+    assert!(cell.unfinished().is_empty());
+    let starts: u64 = cell.workers.iter().map(|w| w.starts).sum();
+    assert!(starts <= 30 * 8 * 13 / 10, "{starts} starts for 240 tasks");
+}
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -116,6 +116,8 @@
     pub term: u64,
     pub workers: Vec<FakeWorker>,
     pub trouble: Trouble,
+    /// Whether connections to workers that are cut off fail at once.
+    pub refuse_cut: bool,
     pub answers: BTreeMap<u64, Answer>,
     /// When each job was seen to be completed.
     pub completed: BTreeMap<JobId, u64>,
@@ -161,6 +163,7 @@
             term: 0,
             workers: Vec::new(),
             trouble: Trouble::default(),
+            refuse_cut: false,
             answers: BTreeMap::new(),
             completed: BTreeMap::new(),
             questions: 0,
@@ -373,6 +376,14 @@
         self.open.insert(key);
         let timeout = order.timeout.as_millis() as u64;
         self.schedule(timeout, Event::Timeout(key));
+        let at = self
+            .workers
+            .iter()
+            .position(|w| w.report.address == order.address);
+        if self.refuse_cut && at.is_some_and(|at| !self.reaches(at)) {
+            self.schedule(WAY_MS, Event::Answer(key, Reply::NotSent));
+            return;
+        }
         let delay = if self.rng.random_ratio(self.trouble.late.min(1_000), 1_000) {
             self.open.remove(&key);
             self.schedule(timeout, Event::Answer(key, Reply::NoAnswer));
@@ -381,10 +392,6 @@
         } else {
             WAY_MS
         };
-        let at = self
-            .workers
-            .iter()
-            .position(|w| w.report.address == order.address);
         if let Some(at) = at {
             self.schedule(delay, Event::Arrive(Box::new(order), at as u64));
         }
