Move runs that stand still, forget failures slowly, keep room by priority

Cause: tasks on workers that stand still were found after 2.5 s and their worker went on getting work; a worker that fails a part was forgiven with its next success. A gang that waited for permits kept room from other gangs that had theirs. Change: a run without progress for 1.3 s is moved and its worker left alone; the score of failures halves in 8 s; room kept for a gang is kept from queues of lower priority and later tiers only. Measured: the test of tasks that stand still fails before and passes after; the one with workers that fail a part passes both before and after.

--- a/src/core/plane/lead/channel.rs
+++ b/src/core/plane/lead/channel.rs
@@ -11,8 +11,13 @@
 /// A worker of which nothing was heard for this long gets nothing new: two of its
 /// reports are missing. It is looked at after half of that.
 const UNHEARD_MAX: Duration = Duration::from_millis(4_000);
-/// Failures in a row after which a worker is left alone.
-const FAILURES_MAX: u32 = 2;
+/// Score of failures from which on a worker is left alone: two failures with no more
+/// than one success between them.
+const FAILURES_MAX: f64 = 1.6;
+/// What a success leaves of the score.
+const FAILURES_KEPT: f64 = 0.7;
+/// Time in which the score halves.
+const FAILURES_HALF: Duration = Duration::from_secs(8);
 /// First time that a failing worker is left alone; it doubles with each failure.
 const AVOID_FIRST: Duration = Duration::from_secs(3);
 /// Longest time that a failing worker is left alone.
@@ -121,8 +126,11 @@
     pub rack: u32,
     /// What planned starts will take.
     pub reserved: Amount,
-    /// Failed runs since the latest success.
-    pub failures: u32,
+    /// Score of failures: one for each, less with each success and with time.
+    failures: f64,
+    failures_at: Moment,
+    /// How often in a row the worker was left alone.
+    avoided: u32,
     /// The worker gets nothing before this.
     pub avoid_until: Moment,
     /// Run time relative to what is expected.
@@ -154,7 +162,9 @@
             filling: 0,
             rack,
             reserved: Amount::default(),
-            failures: 0,
+            failures: 0.0,
+            failures_at: now,
+            avoided: 0,
             avoid_until: Moment::ZERO,
             slowness: 1.0,
             departing: None,
@@ -241,7 +251,7 @@
             && self.departing.is_none()
             && !self.is_unheard(now, UNHEARD_MAX)
             && now >= self.avoid_until
-            && (self.failures < FAILURES_MAX || self.live.is_empty())
+            && (self.failures(now) < FAILURES_MAX || self.live.is_empty())
     }
 
     /// Returns the lease end for an order sent now, on the worker's clock.
@@ -260,21 +270,35 @@
             .is_none_or(|reading| reading.least(now) > self.until)
     }
 
-    /// Records a failed run; yields for how long the worker is left alone, if it is.
-    pub fn fail(&mut self, now: Moment) -> Option<Duration> {
-        self.failures += 1;
+    /// Returns the score of failures.
+    pub fn failures(&self, now: Moment) -> f64 {
+        let halves = now.since(self.failures_at).as_secs_f64() / FAILURES_HALF.as_secs_f64();
+        self.failures * 0.5_f64.powf(halves)
+    }
+
+    /// Records a failure that counts `weight`; yields for how long the worker is left
+    /// alone, if it is.
+    pub fn fail(&mut self, now: Moment, weight: f64) -> Option<Duration> {
+        self.failures = self.failures(now) + weight;
+        self.failures_at = now;
         if self.failures < FAILURES_MAX {
             return None;
         }
-        let doubled = (self.failures - FAILURES_MAX).min(8);
-        let wait = (AVOID_FIRST * 2_u32.pow(doubled)).min(AVOID_MAX);
+        let wait = (AVOID_FIRST * 2_u32.pow(self.avoided.min(8))).min(AVOID_MAX);
+        if now >= self.avoid_until {
+            self.avoided += 1;
+        }
         self.avoid_until = now + wait;
         Some(wait)
     }
 
     /// Records a successful run that took `ratio` of the expected time.
-    pub fn succeed(&mut self, ratio: f64) {
-        self.failures = 0;
+    pub fn succeed(&mut self, now: Moment, ratio: f64) {
+        self.failures = self.failures(now) * FAILURES_KEPT;
+        self.failures_at = now;
+        if self.failures < FAILURES_MAX / 4.0 {
+            self.avoided = 0;
+        }
         self.slowness += SPEED_WEIGHT * (ratio.clamp(0.2, 10.0) - self.slowness);
     }
 }
--- a/src/core/plane/lead/io.rs
+++ b/src/core/plane/lead/io.rs
@@ -372,8 +372,8 @@
     WorkerAvoided {
         /// Worker.
         worker: String,
-        /// Failures in a row.
-        failures: u32,
+        /// Score of failures.
+        failures: f64,
         /// For how long, in milliseconds.
         for_ms: u64,
     },
--- a/src/core/plane/lead/place.rs
+++ b/src/core/plane/lead/place.rs
@@ -12,7 +12,7 @@
 /// Room on a worker that is worth a start, in thousandths of a core, for each
 /// multiple of the expected run time that the worker is slower.
 const SLOW_COST: f64 = 24_000.0;
-/// Cost of each failure in a row, in thousandths of a core.
+/// Cost of each point of the score of failures, in thousandths of a core.
 const FAILURE_COST: f64 = 16_000.0;
 /// Cost of a rack without the step's data, for each multiple that it is slower.
 const FAR_COST: f64 = 24_000.0;
@@ -30,8 +30,8 @@
     pub rack: u32,
     /// Run time relative to what is expected.
     pub slowness: f64,
-    /// Failures in a row.
-    pub failures: u32,
+    /// Score of failures.
+    pub failures: f64,
     /// Whether a task with users of its own is there.
     pub serving: bool,
     /// Whether a filling task is there.
@@ -200,6 +200,11 @@
         found
     }
 
+    /// Returns the processors of all workers, in thousandths of a core.
+    pub fn total_cpu(&self) -> i64 {
+        self.iter().map(|(_, seat)| seat.capacity.cpu).sum()
+    }
+
     /// Keeps room for `count` tasks that do not fit yet: what is free on the workers
     /// closest to fitting them is withheld from later candidates.
     pub fn keep(&mut self, what: &Candidate, count: usize, allowed: &[WorkerKey]) {
@@ -236,5 +241,5 @@
         _ => 0.0,
     };
     let slow = (seat.slowness - 1.0).max(0.0) * SLOW_COST;
-    left + far + slow + f64::from(seat.failures) * FAILURE_COST
+    left + far + slow + seat.failures * FAILURE_COST
 }
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -16,8 +16,9 @@
 use crate::core::plane::types::{Amount, StepName, TaskName, WorkerKey};
 use crate::core::share::{Claimant, divide};
 
-/// Steps for which room is kept in one round. More would keep the fleet idle.
-const KEEP_MAX: usize = 4;
+/// Part of all processors that is kept for gangs that wait. More would keep the fleet
+/// idle; the first gang is always kept for.
+const KEEP_SHARE: f64 = 0.25;
 /// Room for urgent work on top of its recent peak.
 const URGENT_MARGIN: f64 = 1.2;
 /// Largest part of a worker that is kept for urgent work.
@@ -39,13 +40,26 @@
 /// What one round has come to.
 struct Round {
     seats: Seats,
-    /// Steps for which room is kept.
-    kept: usize,
+    /// Gangs to keep room for: what a task takes, how many, and where they may run.
+    kept: Vec<(Candidate, usize, Vec<WorkerKey>)>,
+    /// Processors that are kept, in thousandths of a core, and the most.
+    kept_cpu: i64,
+    kept_max: i64,
     starts: Vec<Start>,
     /// Workers by service and label.
     eligible: HashMap<(String, Option<String>), Rc<Vec<WorkerKey>>>,
 }
 
+impl Round {
+    // Room is kept from later groups only. Gangs of one queue would otherwise wait for
+    // each other's permits.
+    fn apply_kept(&mut self) {
+        for (what, count, allowed) in self.kept.drain(..) {
+            self.seats.keep(&what, count, &allowed);
+        }
+    }
+}
+
 struct Waiting {
     rank: Rank,
     step: StepName,
@@ -62,13 +76,22 @@
         waiting.sort_unstable_by_key(|w| (w.rank, w.step));
         let seats = self.seats(now, state);
         seats.count(waiting.len() + self.channels.len());
+        let kept_max = (seats.total_cpu() as f64 * KEEP_SHARE) as i64;
         let mut round = Round {
             seats,
-            kept: 0,
+            kept: Vec::new(),
+            kept_cpu: 0,
+            kept_max,
             starts: Vec::new(),
             eligible: HashMap::new(),
         };
+        let mut group = None;
         for step in &waiting {
+            let next = (step.rank.lateness, step.rank.priority);
+            if group.is_some_and(|group| group != next) {
+                round.apply_kept();
+            }
+            group = Some(next);
             self.plan_step(now, state, step, &mut round);
             if round.seats.work() > WORK_MAX {
                 break;
@@ -154,7 +177,7 @@
                 free_later,
                 rack: channel.rack,
                 slowness: channel.slowness,
-                failures: channel.failures,
+                failures: channel.failures(now.at),
                 serving: channel.serving > 0,
                 filling: channel.filling > 0,
             };
@@ -208,14 +231,13 @@
         eligible: &[WorkerKey],
         round: &mut Round,
     ) {
-        if !spec.gang || round.kept >= KEEP_MAX {
+        if !spec.gang || round.kept_cpu >= round.kept_max {
             return;
         }
-        round.kept += 1;
-        match self.known_good(waiting.step, &round.seats) {
-            Some(good) => round.seats.keep(what, waiting.count, &good),
-            None => round.seats.keep(what, waiting.count, eligible),
-        }
+        round.kept_cpu += what.room.cpu * waiting.count as i64;
+        let allowed = self.known_good(waiting.step, &round.seats);
+        let allowed = allowed.unwrap_or_else(|| eligible.to_vec());
+        round.kept.push((what.clone(), waiting.count, allowed));
     }
 
     // Workers that may run a step and could get work.
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -25,11 +25,15 @@
 const STOP_RETRY: Duration = Duration::from_millis(400);
 /// A worker that said that it ends is gone after this.
 const DEPART_AFTER: Duration = Duration::from_millis(400);
-/// A run without progress for this long is started elsewhere. Workers tell progress
-/// in whole percents, so that longer runs get longer.
-const STUCK_MIN: Duration = Duration::from_millis(2_500);
+/// A run without progress for this long is started elsewhere: two looks and a half.
+/// Workers tell progress in whole percents, so that longer runs get longer.
+const STUCK_MIN: Duration = Duration::from_millis(1_300);
+/// Members of a gang make no progress before all are there, at most for this long.
+const STUCK_GANG: Duration = Duration::from_millis(4_500);
 /// Part of the expected run time that a run may be without progress.
-const STUCK_SHARE: f64 = 0.25;
+const STUCK_SHARE: f64 = 0.1;
+/// A worker whose tasks make no progress is left alone at once.
+const STUCK_WEIGHT: f64 = 2.0;
 /// Interval at which runs are checked for stops without an answer and for progress.
 const CHECK_RUNS_EVERY: Duration = Duration::from_millis(100);
 /// Ends that one list holds at most.
@@ -77,6 +81,7 @@
     fn tick_runs(&mut self, now: Now, state: &State, key: WorkerKey) {
         let channel = &self.channels[&key];
         let mut stops = Vec::new();
+        let mut stuck = 0;
         for (&task, live) in channel.live() {
             if live.ending {
                 continue;
@@ -85,29 +90,28 @@
                 && live.stop_at.is_some_and(|at| now.at.since(at) > STOP_RETRY);
             if unanswered {
                 stops.push((task, live.run, "no answer to its stop"));
-            } else if live.stop_at.is_none() && self.is_stuck(now, state, task, live) {
+            } else if live.stop_at.is_some() {
+                continue;
+            } else if is_stuck(now, state, task, live) {
                 stops.push((task, live.run, "no progress"));
+                stuck += 1;
             }
         }
+        if stops.is_empty() {
+            return;
+        }
+        let channel = self.channels.get_mut(&key).expect("known worker");
+        if stuck > 0
+            && let Some(wait) = channel.fail(now.at, STUCK_WEIGHT)
+        {
+            let failures = channel.failures(now.at);
+            self.note_avoided(state, key, failures, wait);
+        }
         for (task, run, why) in stops {
             self.stop(now, state, key, task, run, why);
         }
     }
 
-    fn is_stuck(&self, now: Now, state: &State, task: TaskName, live: &Live) -> bool {
-        let Some((percent, since)) = live.progress else {
-            return false;
-        };
-        let Some((spec, _, _)) = state.jobs.get(&task.step.job).and_then(|j| j.task(task)) else {
-            return false;
-        };
-        if spec.lasting || spec.filling || percent >= 100 {
-            return false;
-        }
-        let expected = Duration::from_millis((spec.estimate_ms as f64 * STUCK_SHARE) as u64);
-        now.at.since(since) > STUCK_MIN.max(expected)
-    }
-
     fn order(&mut self, now: Now, state: &State, key: WorkerKey, sent: Sent, work: Work) -> u64 {
         let number = self.number();
         let wait = match &work {
@@ -358,8 +362,8 @@
         match why {
             Declined::Permit => self.permits.revoke(task.step, key),
             Declined::Unhealthy | Declined::Malformed => {
-                if let Some(wait) = channel.fail(now.at) {
-                    let failures = channel.failures;
+                if let Some(wait) = channel.fail(now.at, 1.0) {
+                    let failures = channel.failures(now.at);
                     self.note_avoided(state, key, failures, wait);
                 }
             }
@@ -528,16 +532,17 @@
                 let ratio = took.map(|took| took / estimate.max(1.0));
                 let whole = task.checkpoint.is_none();
                 if let Some(ratio) = ratio.filter(|_| whole && estimate > 0.0) {
-                    channel.succeed(ratio / self.ratios.get(queue).copied().unwrap_or(1.0));
+                    let usual = self.ratios.get(queue).copied().unwrap_or(1.0);
+                    channel.succeed(now.at, ratio / usual);
                     self.learn_ratio(queue, ratio);
                 } else {
-                    channel.succeed(1.0);
+                    channel.succeed(now.at, 1.0);
                 }
             }
             // A task that failed before is at fault itself, as far as anyone knows.
             How::Failed if task.failed == 0 => {
-                if let Some(wait) = channel.fail(now.at) {
-                    let failures = channel.failures;
+                if let Some(wait) = channel.fail(now.at, 1.0) {
+                    let failures = channel.failures(now.at);
                     self.note_avoided(state, key, failures, wait);
                 }
             }
@@ -545,7 +550,7 @@
         }
     }
 
-    fn note_avoided(&mut self, state: &State, key: WorkerKey, failures: u32, wait: Duration) {
+    fn note_avoided(&mut self, state: &State, key: WorkerKey, failures: f64, wait: Duration) {
         self.note(Note::WorkerAvoided {
             worker: state.worker(key).report.id.clone(),
             failures,
@@ -711,6 +716,26 @@
     }
 }
 
+fn is_stuck(now: Now, state: &State, task: TaskName, live: &Live) -> bool {
+    let Some((percent, since)) = live.progress else {
+        return false;
+    };
+    let job = state.jobs.get(&task.step.job);
+    let Some((spec, _, _)) = job.and_then(|j| j.task(task)) else {
+        return false;
+    };
+    if spec.lasting || spec.filling || percent >= 100 {
+        return false;
+    }
+    let share = Duration::from_millis((spec.estimate_ms as f64 * STUCK_SHARE) as u64);
+    let least = if spec.gang && percent == 0 {
+        STUCK_GANG
+    } else {
+        STUCK_MIN
+    };
+    now.at.since(since) > least.max(share)
+}
+
 /// Returns what a task's run is to placing.
 pub(super) fn nature(state: &State, task: TaskName, cpu: i64) -> Nature {
     let Some(job) = state.jobs.get(&task.step.job) else {
--- a/tests/plane.rs
+++ b/tests/plane.rs
@@ -272,3 +272,56 @@
     let starts: u64 = cell.workers.iter().map(|w| w.starts).sum();
     assert!(starts <= 30 * 8 * 13 / 10, "{starts} starts for 240 tasks");
 }
+
+// Load: gangs of eight over twelve workers, two of which fail part of what they run.
+#[test]
+fn gangs_finish_beside_workers_that_fail_a_part() {
+    let mut cell = cell(9, 12);
+    cell.workers[1].fails_some = 50;
+    cell.workers[7].fails_some = 50;
+    for id in 1..=40 {
+        let step = StepSpec {
+            gang: true,
+            ..tasks(8, 6, 600)
+        };
+        cell.submit("gang", id, vec![step], 600);
+        cell.run_for(400);
+    }
+    cell.run_for(5_000);
+    let given_up = cell.unfinished().len();
+    assert!(given_up <= 1, "{given_up} of 40 gangs were given up");
+}
+
+fn finish_all(cell: &mut Cell, jobs: u64, ms: u64) -> Vec<u64> {
+    let mut sent = Vec::new();
+    for id in 1..=jobs {
+        sent.push(cell.now);
+        cell.submit("batch", id, vec![tasks(2, 2, ms)], ms);
+        cell.run_for(60);
+    }
+    cell.run_for(12 * ms);
+    let mut took: Vec<u64> = (1..=jobs)
+        .map(|id| {
+            let end = cell
+                .completed
+                .get(&JobId(id))
+                .copied()
+                .unwrap_or(u64::MAX / 2);
+            end - sent[id as usize - 1]
+        })
+        .collect();
+    took.sort_unstable();
+    took
+}
+
+#[test]
+fn tasks_that_stand_still_are_moved() {
+    let mut cell = cell(10, 6);
+    cell.workers[2].hangs = true;
+    let took = finish_all(&mut cell, 100, 1_000);
+    let worst = took[took.len() - 1];
+    assert!(
+        worst <= 5_500,
+        "the slowest job took {worst} ms for 1000 ms of work"
+    );
+}
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -51,6 +51,10 @@
     /// Answers are lost until then.
     pub mute_until: u64,
     pub fails_all: bool,
+    /// Part of runs that fail, in hundredths.
+    pub fails_some: u64,
+    /// Runs stand still.
+    pub hangs: bool,
     fence: u64,
     deadline: u64,
     born_at: u64,
@@ -228,6 +232,8 @@
             cut_until: 0,
             mute_until: 0,
             fails_all: false,
+            fails_some: 0,
+            hangs: false,
             fence: 0,
             deadline: 0,
             born_at: self.now,
@@ -638,6 +644,7 @@
         );
         self.first_start.entry(task.step).or_insert(self.now);
         let ms = self.durations[&task.step.job];
+        let unlucky = self.rng.random_range(0..100) < self.workers[at].fails_some;
         let worker = &mut self.workers[at];
         worker.deadline = worker.deadline.max(until);
         worker.starts += 1;
@@ -646,8 +653,14 @@
             Running {
                 run,
                 began: self.now,
-                ends: self.now + if worker.fails_all { 50 } else { ms },
-                fails: worker.fails_all,
+                ends: if worker.hangs {
+                    u64::MAX / 2
+                } else if worker.fails_all {
+                    self.now + 50
+                } else {
+                    self.now + ms
+                },
+                fails: worker.fails_all || unlucky,
                 room: spec.room(),
             },
         );
