Wait 2.5 s before a run without progress is moved

Change: 2.5 s again, three tenths of the processors kept for gangs. Conclusion: moves at 1.3 s cost more than they save.

--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -18,7 +18,7 @@
 
 /// Part of all processors that is kept for gangs that wait. More would keep the fleet
 /// idle; the first gang is always kept for.
-const KEEP_SHARE: f64 = 0.25;
+const KEEP_SHARE: f64 = 0.3;
 /// Room for urgent work on top of its recent peak.
 const URGENT_MARGIN: f64 = 1.2;
 /// Largest part of a worker that is kept for urgent work.
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -25,9 +25,9 @@
 const STOP_RETRY: Duration = Duration::from_millis(400);
 /// A worker that said that it ends is gone after this.
 const DEPART_AFTER: Duration = Duration::from_millis(400);
-/// A run without progress for this long is started elsewhere: two looks and a half.
+/// A run without progress for this long is started elsewhere: three looks.
 /// Workers tell progress in whole percents, so that longer runs get longer.
-const STUCK_MIN: Duration = Duration::from_millis(1_300);
+const STUCK_MIN: Duration = Duration::from_millis(2_500);
 /// Members of a gang make no progress before all are there, at most for this long.
 const STUCK_GANG: Duration = Duration::from_millis(4_500);
 /// Part of the expected run time that a run may be without progress.
