--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -320,11 +320,26 @@
             2 => self.partition(),
             3..6 => self.cut.clear(),
             6 => self.change_members(),
+            7 => self.resign(),
             _ => {}
         }
     }
 
     // One host, one direction or two halves.
+    // The leader gives up its term, as on a planned stop.
+    fn resign(&mut self) {
+        for at in 0..self.hosts.len() {
+            let now = self.hosts[at].clock(self.time);
+            if let Some(replica) = &mut self.hosts[at].replica
+                && replica.is_leader()
+            {
+                replica.resign(now);
+                self.settle(at);
+                return;
+            }
+        }
+    }
+
     fn partition(&mut self) {
         let ids: Vec<u64> = self.hosts.iter().map(|h| h.id).collect();
         let side: Vec<u64> = ids.iter().copied().filter(|_| self.rng.random()).collect();
--- /dev/null
+++ b/tests/journal.rs
@@ -0,0 +1,94 @@
+//! Log lines: bounded, counted, never blocking.
+
+use std::io::Write;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use plantaincross::cell::journal::{Journal, LINES_PER_SECOND, Line};
+
+#[derive(Clone, Default)]
+struct Sink(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Sink {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("sink lock").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A reader that never reads.
+struct Full;
+
+impl Write for Full {
+    fn write(&mut self, _: &[u8]) -> std::io::Result<usize> {
+        std::thread::sleep(Duration::from_secs(3_600));
+        Ok(0)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+fn peer(n: u64) -> Line {
+    Line::PeerDown {
+        peer: format!("i{n}"),
+    }
+}
+
+#[test]
+fn a_line_is_an_object_with_time_instance_and_kind() {
+    let sink = Sink::default();
+    let (journal, guard) = Journal::new("one", sink.clone());
+    journal.write(&peer(7));
+    drop(guard);
+    let bytes = sink.0.lock().expect("sink lock").clone();
+    let value: serde_json::Value = serde_json::from_slice(&bytes).expect("one JSON line");
+    assert_eq!(value["instance"], "one");
+    assert_eq!(value["event"], "peer_down");
+    assert_eq!(value["peer"], "i7");
+    assert!(value["at_ms"].as_u64().is_some());
+}
+
+#[test]
+fn a_kind_above_its_budget_is_counted_and_told() {
+    let sink = Sink::default();
+    let (journal, guard) = Journal::new("one", sink.clone());
+    let sent = 10 * u64::from(LINES_PER_SECOND);
+    for n in 0..sent {
+        journal.write(&peer(n));
+    }
+    std::thread::sleep(Duration::from_millis(1_100));
+    journal.write(&peer(sent));
+    drop(guard);
+    let bytes = sink.0.lock().expect("sink lock").clone();
+    let text = String::from_utf8(bytes).expect("text");
+    let mut shown = 0;
+    let mut left_out = 0;
+    for line in text.lines() {
+        let value: serde_json::Value = serde_json::from_str(line).expect("JSON");
+        match value["event"].as_str() {
+            Some("left_out") => left_out += value["count"].as_u64().expect("a count"),
+            _ => shown += 1,
+        }
+    }
+    assert_eq!(shown + left_out, sent + 1, "every line is shown or counted");
+    // The run may cross a second.
+    assert!(shown <= 3 * u64::from(LINES_PER_SECOND));
+}
+
+#[test]
+fn a_reader_that_stands_still_blocks_nobody() {
+    let (journal, guard) = Journal::new("one", Full);
+    let began = Instant::now();
+    for n in 0..100_000 {
+        journal.write(&peer(n));
+    }
+    assert!(began.elapsed() < Duration::from_secs(10));
+    // Dropping the guard would wait for the reader.
+    std::mem::forget(guard);
+}
