--- a/src/cell/entry.rs
+++ b/src/cell/entry.rs
@@ -29,8 +29,8 @@
 /// would turn callers away for the pause of a planned hand-over.
 const LEADER_WAIT: Duration = Duration::from_millis(200);
 /// A question without an answer for this long is asked again, as its leader may be
-/// suspended. It is some fifty times a commit.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(900);
+/// suspended. It is some thirty times a commit, and an election takes as long.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(500);
 /// When a caller may come back that found no leader, in milliseconds: about the time
 /// until another is elected.
 const NO_LEADER_RETRY_MS: u64 = 1_000;
@@ -171,7 +171,15 @@
             };
             attempts += 1;
             let limit = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
-            match timeout_at(limit, answer).await {
+            let answered = tokio::select! {
+                answered = timeout_at(limit, answer) => answered,
+                // The answer of a leader that has been replaced may never come.
+                () = self.await_term_after(leader.term) => {
+                    unknown = true;
+                    continue;
+                }
+            };
+            match answered {
                 Ok(Ok(RemoteAnswer::Query(Answer::NotLeader))) => {}
                 Ok(Ok(RemoteAnswer::Query(Answer::Unknown))) => unknown = true,
                 Ok(Ok(RemoteAnswer::Query(answer))) => return outcome(answer, attempts),
@@ -200,6 +208,14 @@
         Some(shared.calls.send(to, &link, &remote))
     }
 
+    async fn await_term_after(&self, term: u64) {
+        let mut seen = self.leader.clone();
+        // The sender lives as long as the process serves.
+        if seen.wait_for(|leader| leader.term > term).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     async fn await_leader(&self, deadline: Instant) -> Leader {
         let limit = deadline.min(Instant::now() + LEADER_WAIT);
         let mut seen = self.leader.clone();
--- a/src/core/consensus/election.rs
+++ b/src/core/consensus/election.rs
@@ -99,7 +99,7 @@
         // A replica that hears its leader takes no part, so that one that was cut
         // off cannot disturb the group.
         let hears_leader = self.is_leader() || now < self.contact + with_clock_margin(ELECTION_MIN);
-        if hears_leader && !(vote.yielded && !self.is_leader()) {
+        if hears_leader && (self.is_leader() || !vote.yielded) {
             return;
         }
         if !vote.pre && term > self.hard.term {
