--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -4,7 +4,6 @@
 //! A longer run: `SCHEDULES=100000 cargo test --release --test consensus`.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
 use bytes::Bytes;
 use plantaincross::core::consensus::{ELECTION_MIN, Hard, Ready, Replica, Snapshot, Stored};
