--- a/src/cell/control.rs
+++ b/src/cell/control.rs
@@ -784,7 +784,8 @@
     fn apply(&mut self, entry: &Entry) {
         if !entry.voters.is_empty() {
             let voters = entry.voters.iter().map(|v| v.name.clone()).collect();
-            self.journal.write(&Line::Voters { voters });
+            let index = entry.index;
+            self.journal.write(&Line::Voters { index, voters });
             self.mesh.set_founded();
         }
         if !entry.command.is_empty() {
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -90,6 +90,9 @@
     },
     /// The voters changed.
     Voters {
+        /// Entry of the log that names them; those before the last one at the start of
+        /// the process are read again from the log.
+        index: u64,
         /// Their names.
         voters: Vec<String>,
     },
