--- /dev/null
+++ b/src/cell/control/log.rs
@@ -0,0 +1,167 @@
+//! The replicated log: sending, storing, applying, compacting.
+
+use super::{COMPACT_BYTES, COMPACT_ENTRIES, Control};
+use crate::cell::Port;
+use crate::cell::journal::Line;
+use crate::cell::metrics::Metrics;
+use crate::cell::storage::{Done, Job};
+use crate::core::consensus::Ready;
+use crate::core::plane::codec;
+use crate::core::plane::state::{Command, State};
+use crate::wire::{Body, Entry, Raft};
+
+impl<P: Port> Control<P> {
+    // Sends, stores and applies what the replica has to do.
+    pub(super) fn pump(&mut self) {
+        loop {
+            let now = self.clock.now();
+            self.replica.flush(now);
+            if self.storing {
+                let ready = self.replica.take_unstored();
+                if ready.is_idle() {
+                    break;
+                }
+                self.send_all(ready.messages);
+                self.apply_all(ready.committed);
+                continue;
+            }
+            let mut ready = self.replica.take_ready();
+            if ready.is_idle() {
+                break;
+            }
+            // Followers may have a leader's entries before its own disk does.
+            if self.replica.is_leader() && ready.hard.is_none() || !ready.needs_disk() {
+                let messages = std::mem::take(&mut ready.messages);
+                self.send_all(messages);
+            }
+            if let Some(snapshot) = &ready.snapshot {
+                self.load(snapshot.index, &snapshot.data);
+            }
+            let committed = std::mem::take(&mut ready.committed);
+            if ready.needs_disk() {
+                self.store(ready);
+            }
+            self.apply_all(committed);
+        }
+        self.compact();
+    }
+
+    pub(super) fn store(&mut self, ready: Ready) {
+        let log = self.replica.log();
+        let last = (log.last_index(), log.last_term());
+        let ready = Box::new(ready);
+        if self.jobs.send(Job::Store { ready, last }).is_err() {
+            self.journal.write(&Line::DiskRefused {
+                error: "the disk's thread has ended".to_owned(),
+            });
+            self.token.cancel();
+        }
+        self.storing = true;
+    }
+
+    pub(super) fn take_stored(&mut self, done: Done) {
+        match done {
+            Done::Stored { ready, last } => {
+                self.storing = false;
+                let now = self.clock.now();
+                self.replica.persisted_to(now, last.0, last.1);
+                self.send_all(ready.messages);
+                self.pump();
+            }
+            Done::Compacted => self.compacting = false,
+        }
+    }
+
+    pub(super) fn load(&mut self, index: u64, data: &[u8]) {
+        match codec::decode::<State>(data) {
+            Ok(state) => {
+                self.state = state;
+                self.state.applied = index;
+            }
+            Err(err) => {
+                // Going on would apply entries to the wrong state.
+                self.unreadable("a snapshot", &err);
+                self.token.cancel();
+            }
+        }
+    }
+
+    pub(super) fn apply_all(&mut self, committed: Vec<Entry>) {
+        for entry in committed {
+            self.apply(&entry);
+        }
+    }
+
+    pub(super) fn apply(&mut self, entry: &Entry) {
+        if !entry.voters.is_empty() {
+            let voters = entry.voters.iter().map(|v| v.name.clone()).collect();
+            let index = entry.index;
+            self.journal.write(&Line::Voters { index, voters });
+            self.mesh.set_founded();
+        }
+        if !entry.command.is_empty() {
+            match codec::decode::<Command>(&entry.command) {
+                Ok(command) => self.apply_command(command),
+                Err(err) => self.unreadable("a log entry", &err),
+            }
+        }
+        self.state.applied = entry.index;
+        let now = self.clock.now();
+        if let Some(at) = self.proposed_at.remove(&entry.index) {
+            Metrics::observe(&self.metrics.commit_seconds, now.since(at));
+        }
+        for (call, answer) in self.waiting.remove(&entry.index).unwrap_or_default() {
+            self.answer(call, answer);
+        }
+    }
+
+    pub(super) fn apply_command(&mut self, command: Command) {
+        let now = self.now();
+        match &mut self.lead {
+            Some((_, lead)) => {
+                self.state.apply(command.clone());
+                let effects = lead.applied(now, &self.state, &command);
+                self.carry_out(effects);
+            }
+            None => self.state.apply(command),
+        }
+    }
+
+    pub(super) fn send_all(&mut self, messages: Vec<Raft>) {
+        for raft in messages {
+            // Replica 0 stands for all.
+            if raft.to == 0 {
+                let durable = self.peers.values().filter(|p| p.durable);
+                for peer in durable {
+                    if let Some(link) = self.link(peer.id) {
+                        link.send(Body::Raft(raft.clone()));
+                    }
+                }
+            } else if let Some(link) = self.instance_of(raft.to).and_then(|id| self.link(id)) {
+                link.send(Body::Raft(raft));
+            }
+        }
+    }
+
+    pub(super) fn compact(&mut self) {
+        let log = self.replica.log();
+        let is_long = log.bytes() >= COMPACT_BYTES || log.len() >= COMPACT_ENTRIES;
+        if !is_long || self.compacting || self.storing {
+            return;
+        }
+        let data = codec::encode(&self.state);
+        let bytes = data.len();
+        let index = self.state.applied;
+        let Some(snapshot) = self.replica.compact(index, data) else {
+            return;
+        };
+        let log = self.replica.log();
+        let entries = log.slice(log.first_index(), usize::MAX);
+        self.journal.write(&Line::Compacted { index, bytes });
+        self.compacting = true;
+        let job = Job::Compact(Box::new(snapshot), entries);
+        if self.jobs.send(job).is_err() {
+            self.token.cancel();
+        }
+    }
+}
--- a/src/cell/control.rs
+++ b/src/cell/control/mod.rs
@@ -1,5 +1,8 @@
 //! The loop of a control instance: agreement, the leader's decisions and the disk.
 
+mod links;
+mod log;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,16 +12,16 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::calls::{self, Calls};
-use super::journal::{Journal, Line};
-use super::metrics::Metrics;
-use super::storage::{self, Done, Job};
-use super::{
+use crate::cell::calls::{self, Calls};
+use crate::cell::journal::{Journal, Line};
+use crate::cell::metrics::Metrics;
+use crate::cell::storage::{self, Done, Job};
+use crate::cell::{
     Asked, Handle, INBOX_MAX, LEADING_EVERY, Links, PING_EVERY, Port, Remote, RemoteAnswer,
     Settings,
 };
 use crate::clock::{self, Clock};
-use crate::core::consensus::{Ready, Replica};
+use crate::core::consensus::Replica;
 use crate::core::control::{Identity, Peer};
 use crate::core::plane::codec;
 use crate::core::plane::lead::{
@@ -29,9 +32,9 @@
 use crate::core::roster::{self, Place, Wanted};
 use crate::core::time::Moment;
 use crate::error::Result;
-use crate::net::{Link, Mesh, Notice};
+use crate::net::{Mesh, Notice};
 use crate::store::{Folder, Wal};
-use crate::wire::{Body, Entry, Leading, Ping, Raft, Voter};
+use crate::wire::{Body, Leading, Ping, Voter};
 
 /// Longest pause of the loop while it leads: the shortest interval of its timers.
 const LEAD_TICK: Duration = Duration::from_millis(20);
@@ -439,132 +442,6 @@
         peers.find(|p| p.replica == replica).map(|p| p.id)
     }
 
-    fn take_notice(&mut self, notice: Notice) {
-        match notice {
-            Notice::Up(peer, link) => self.take_peer(peer, link),
-            Notice::Down(id, number) => {
-                let Some(links) = self.links.get_mut(&id) else {
-                    return;
-                };
-                links.retain(|link| link.number != number);
-                if links.is_empty() {
-                    self.links.remove(&id);
-                    if let Some(peer) = self.peers.remove(&id) {
-                        let peer = peer.name;
-                        self.journal.write(&Line::PeerDown { peer });
-                    }
-                    self.calls.sweep(&self.links);
-                    self.renew_askers();
-                }
-            }
-            Notice::Message(from, body) => self.take_message(from, body),
-            Notice::Refused(error) => self.journal.write(&Line::PeerRefused { error }),
-        }
-    }
-
-    fn take_peer(&mut self, peer: Peer, link: Link) {
-        let now = self.clock.now();
-        if self.leads(now) {
-            let term = self.replica.term();
-            link.send(Body::Leading(Leading { term }));
-        }
-        self.journal.write(&Line::PeerUp {
-            peer: peer.name.clone(),
-            zone: peer.zone.clone(),
-        });
-        self.links.entry(peer.id).or_default().push(link);
-        self.peers.insert(peer.id, peer);
-        self.renew_askers();
-    }
-
-    fn renew_askers(&mut self) {
-        let askers = self.askers();
-        if let Some((_, lead)) = &mut self.lead {
-            lead.set_askers(&askers);
-        }
-    }
-
-    fn take_message(&mut self, from: InstanceId, body: Body) {
-        match body {
-            Body::Raft(raft) => {
-                let now = self.clock.now();
-                self.replica.step(now, raft);
-            }
-            Body::Ping(ping) => self.mesh.learn(&ping.peers),
-            Body::Call(call) => match codec::decode::<Remote>(&call.body) {
-                Ok(remote) => self.take_remote(from, call.id, remote),
-                Err(err) => self.unreadable("a peer's question", &err),
-            },
-            Body::Return(back) => {
-                if let Err(err) = self.calls.take(from, &back) {
-                    self.unreadable("a peer's answer", &err);
-                }
-            }
-            // Word of the leader also comes with its entries, and zones have no
-            // leaders of their own here.
-            _ => {}
-        }
-    }
-
-    fn unreadable(&self, what: &'static str, err: &postcard::Error) {
-        let error = err.to_string();
-        self.journal.write(&Line::Unreadable { what, error });
-    }
-
-    fn take_remote(&mut self, from: InstanceId, id: u64, remote: Remote) {
-        match remote {
-            Remote::Query(query) => {
-                self.next_call += 1;
-                let call = Call(self.next_call);
-                self.origins.insert(call, Origin::Peer(from, id));
-                self.ask_lead(call, query);
-            }
-            Remote::Permission(question) => {
-                let Some(link) = self.link(from).cloned() else {
-                    return;
-                };
-                let port = Arc::clone(&self.port);
-                tokio::spawn(async move {
-                    let answer = RemoteAnswer::Permission(port.ask(question).await);
-                    calls::answer(&link, id, &answer);
-                });
-            }
-        }
-    }
-
-    fn link(&self, to: InstanceId) -> Option<&Link> {
-        self.links.get(&to)?.last()
-    }
-
-    fn take_asked(&mut self, asked: Asked) {
-        let now = self.clock.now();
-        if self.replica.is_leader() {
-            self.next_call += 1;
-            let call = Call(self.next_call);
-            self.origins.insert(call, Origin::Local(asked.reply));
-            if self.leads(now) {
-                self.ask_lead(call, asked.query);
-            } else {
-                self.answer(call, Answer::NotLeader);
-            }
-            return;
-        }
-        let leader = self.replica.leader().and_then(|id| self.instance_of(id));
-        let Some((leader, link)) = leader.and_then(|id| Some((id, self.link(id)?.clone()))) else {
-            // The asker may have gone.
-            let _ = asked.reply.send(Answer::NotLeader);
-            return;
-        };
-        let answer = self.calls.send(leader, &link, &Remote::Query(asked.query));
-        tokio::spawn(async move {
-            let answer = match answer.await {
-                Ok(RemoteAnswer::Query(answer)) => answer,
-                _ => Answer::Unknown,
-            };
-            let _ = asked.reply.send(answer);
-        });
-    }
-
     fn ask_lead(&mut self, call: Call, query: Query) {
         let now = self.now();
         if !self.leads(now.at) {
@@ -699,158 +576,4 @@
             let _ = back.send(Back::Permission(term, number, permission)).await;
         });
     }
-
-    // Sends, stores and applies what the replica has to do.
-    fn pump(&mut self) {
-        loop {
-            let now = self.clock.now();
-            self.replica.flush(now);
-            if self.storing {
-                let ready = self.replica.take_unstored();
-                if ready.is_idle() {
-                    break;
-                }
-                self.send_all(ready.messages);
-                self.apply_all(ready.committed);
-                continue;
-            }
-            let mut ready = self.replica.take_ready();
-            if ready.is_idle() {
-                break;
-            }
-            // Followers may have a leader's entries before its own disk does.
-            if self.replica.is_leader() && ready.hard.is_none() || !ready.needs_disk() {
-                let messages = std::mem::take(&mut ready.messages);
-                self.send_all(messages);
-            }
-            if let Some(snapshot) = &ready.snapshot {
-                self.load(snapshot.index, &snapshot.data);
-            }
-            let committed = std::mem::take(&mut ready.committed);
-            if ready.needs_disk() {
-                self.store(ready);
-            }
-            self.apply_all(committed);
-        }
-        self.compact();
-    }
-
-    fn store(&mut self, ready: Ready) {
-        let log = self.replica.log();
-        let last = (log.last_index(), log.last_term());
-        let ready = Box::new(ready);
-        if self.jobs.send(Job::Store { ready, last }).is_err() {
-            self.journal.write(&Line::DiskRefused {
-                error: "the disk's thread has ended".to_owned(),
-            });
-            self.token.cancel();
-        }
-        self.storing = true;
-    }
-
-    fn take_stored(&mut self, done: Done) {
-        match done {
-            Done::Stored { ready, last } => {
-                self.storing = false;
-                let now = self.clock.now();
-                self.replica.persisted_to(now, last.0, last.1);
-                self.send_all(ready.messages);
-                self.pump();
-            }
-            Done::Compacted => self.compacting = false,
-        }
-    }
-
-    fn load(&mut self, index: u64, data: &[u8]) {
-        match codec::decode::<State>(data) {
-            Ok(state) => {
-                self.state = state;
-                self.state.applied = index;
-            }
-            Err(err) => {
-                // Going on would apply entries to the wrong state.
-                self.unreadable("a snapshot", &err);
-                self.token.cancel();
-            }
-        }
-    }
-
-    fn apply_all(&mut self, committed: Vec<Entry>) {
-        for entry in committed {
-            self.apply(&entry);
-        }
-    }
-
-    fn apply(&mut self, entry: &Entry) {
-        if !entry.voters.is_empty() {
-            let voters = entry.voters.iter().map(|v| v.name.clone()).collect();
-            let index = entry.index;
-            self.journal.write(&Line::Voters { index, voters });
-            self.mesh.set_founded();
-        }
-        if !entry.command.is_empty() {
-            match codec::decode::<Command>(&entry.command) {
-                Ok(command) => self.apply_command(command),
-                Err(err) => self.unreadable("a log entry", &err),
-            }
-        }
-        self.state.applied = entry.index;
-        let now = self.clock.now();
-        if let Some(at) = self.proposed_at.remove(&entry.index) {
-            Metrics::observe(&self.metrics.commit_seconds, now.since(at));
-        }
-        for (call, answer) in self.waiting.remove(&entry.index).unwrap_or_default() {
-            self.answer(call, answer);
-        }
-    }
-
-    fn apply_command(&mut self, command: Command) {
-        let now = self.now();
-        match &mut self.lead {
-            Some((_, lead)) => {
-                self.state.apply(command.clone());
-                let effects = lead.applied(now, &self.state, &command);
-                self.carry_out(effects);
-            }
-            None => self.state.apply(command),
-        }
-    }
-
-    fn send_all(&mut self, messages: Vec<Raft>) {
-        for raft in messages {
-            // Replica 0 stands for all.
-            if raft.to == 0 {
-                let durable = self.peers.values().filter(|p| p.durable);
-                for peer in durable {
-                    if let Some(link) = self.link(peer.id) {
-                        link.send(Body::Raft(raft.clone()));
-                    }
-                }
-            } else if let Some(link) = self.instance_of(raft.to).and_then(|id| self.link(id)) {
-                link.send(Body::Raft(raft));
-            }
-        }
-    }
-
-    fn compact(&mut self) {
-        let log = self.replica.log();
-        let is_long = log.bytes() >= COMPACT_BYTES || log.len() >= COMPACT_ENTRIES;
-        if !is_long || self.compacting || self.storing {
-            return;
-        }
-        let data = codec::encode(&self.state);
-        let bytes = data.len();
-        let index = self.state.applied;
-        let Some(snapshot) = self.replica.compact(index, data) else {
-            return;
-        };
-        let log = self.replica.log();
-        let entries = log.slice(log.first_index(), usize::MAX);
-        self.journal.write(&Line::Compacted { index, bytes });
-        self.compacting = true;
-        let job = Job::Compact(Box::new(snapshot), entries);
-        if self.jobs.send(job).is_err() {
-            self.token.cancel();
-        }
-    }
 }
--- /dev/null
+++ b/src/core/plane/lead/ask.rs
@@ -0,0 +1,136 @@
+//! Which workers to ask permits for.
+
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use super::io::Effect;
+use super::permits::named_count;
+use super::place::{Candidate, Seats};
+use super::plan::Waiting;
+use super::{Lead, Now};
+use crate::core::plane::plan::Permission;
+use crate::core::plane::state::State;
+use crate::core::plane::types::{StepName, WorkerKey};
+
+/// Workers named again beside those that are needed, in case some fill up while the
+/// question is under way.
+const SPARE_NAMED: usize = 2;
+/// Besides, one for this many.
+const SPARE_PART: usize = 3;
+/// A step that permits would not let start is looked at again after this.
+const ASK_AGAIN: Duration = Duration::from_millis(60);
+
+impl Lead {
+    // Workers that may run a step and could get work.
+    pub(super) fn known_good(&self, step: StepName, seats: &Seats) -> Option<Vec<WorkerKey>> {
+        let known = self.permits.known(step)?;
+        let good = known.good.keys().copied();
+        let good: Vec<WorkerKey> = good.filter(|&key| seats.get(key).is_some()).collect();
+        (!good.is_empty()).then_some(good)
+    }
+
+    // Asks for permits: first for a sample of all workers, then again for those that
+    // are known to be good and have room, then for workers not named yet.
+    #[expect(clippy::too_many_arguments, reason = "the state of one round")]
+    pub(super) fn ask_more(
+        &mut self,
+        now: Now,
+        state: &State,
+        waiting: &Waiting,
+        what: &Candidate,
+        terms: Permission,
+        eligible: &[WorkerKey],
+        seats: &Seats,
+        placed: usize,
+    ) {
+        let step = waiting.step;
+        if self.permits.is_waiting(now.at, step) {
+            return;
+        }
+        let most = named_count(terms);
+        let wanted = waiting.count - placed;
+        let mut named: Vec<WorkerKey> = match self.permits.known(step) {
+            Some(known) if !known.good.is_empty() || !known.bad.is_empty() => {
+                let (good, others): (Vec<WorkerKey>, Vec<WorkerKey>) = eligible
+                    .iter()
+                    .copied()
+                    .filter(|key| !known.bad.contains(key))
+                    .partition(|key| known.good.contains_key(key));
+                self.worth_asking(now, state, step, what, wanted, seats, &good, &others)
+            }
+            _ => eligible.to_vec(),
+        };
+        seats.count(eligible.len());
+        if named.is_empty() {
+            self.permits.defer(step, now.at + ASK_AGAIN);
+            return;
+        }
+        if named.len() > most {
+            // A different sample for each step spreads the load, and workers with
+            // room come first.
+            let has_room = |key: &WorkerKey| {
+                let free = seats.get(*key).map(|seat| seat.free);
+                free.is_some_and(|free| what.room.fits(&free))
+            };
+            named.sort_by_cached_key(|key| {
+                let mut hasher = DefaultHasher::new();
+                (step, key).hash(&mut hasher);
+                (!has_room(key), hasher.finish())
+            });
+            named.truncate(most);
+        }
+        let ids = Self::worker_ids(state, &named);
+        let number = self.number();
+        if let Some((asker, question)) = self.permits.ask(now.at, number, step, terms, ids) {
+            self.effects.push(Effect::Ask(asker, question));
+        }
+    }
+
+    // Workers whose permit would let tasks start now: those that are known to be good
+    // and have room, else those not named yet. Nobody, if tasks would not fit anyway.
+    #[expect(clippy::too_many_arguments, reason = "the state of one round")]
+    fn worth_asking(
+        &self,
+        now: Now,
+        state: &State,
+        step: StepName,
+        what: &Candidate,
+        wanted: usize,
+        seats: &Seats,
+        good: &[WorkerKey],
+        others: &[WorkerKey],
+    ) -> Vec<WorkerKey> {
+        let none = HashMap::new();
+        let needed = if needs_all(state, step) { wanted } else { 1 };
+        let mut fitting = seats.find(what, wanted, good, &none);
+        if fitting.len() >= needed {
+            fitting.sort_unstable();
+            fitting.dedup();
+            let has_lapsed = |key: &WorkerKey| self.permits.valid(now.at, step, *key).is_none();
+            if !fitting.iter().any(has_lapsed) {
+                return Vec::new();
+            }
+            let spare = SPARE_NAMED + fitting.len() / SPARE_PART;
+            let mut more: Vec<WorkerKey> = good
+                .iter()
+                .copied()
+                .filter(|k| !fitting.contains(k))
+                .collect();
+            let room = |key: &WorkerKey| seats.get(*key).map_or(0, |seat| seat.free.cpu);
+            more.sort_by_key(|key| std::cmp::Reverse(room(key)));
+            fitting.extend(more.into_iter().take(spare));
+            return fitting;
+        }
+        let all: Vec<WorkerKey> = good.iter().chain(others).copied().collect();
+        if seats.find(what, wanted, &all, &none).len() < needed {
+            return Vec::new();
+        }
+        others.to_vec()
+    }
+}
+
+fn needs_all(state: &State, step: StepName) -> bool {
+    let job = &state.jobs[&step.job];
+    job.step(step).is_some_and(|(spec, _)| spec.gang)
+}
--- a/src/core/plane/lead/io.rs
+++ b/src/core/plane/lead/io.rs
@@ -6,7 +6,7 @@
 
 use crate::core::plane::job::{Standing, Submission};
 use crate::core::plane::state::Command;
-use crate::core::plane::types::{How, JobId, StepName, TaskName, WorkerKey};
+use crate::core::plane::types::{How, StepName, TaskName, WorkerKey};
 use crate::core::plane::worker::Report;
 use crate::core::registry::InstanceId;
 
@@ -395,11 +395,6 @@
     },
 }
 
-/// Names a job in a note.
-pub fn job_text(job: JobId) -> String {
-    job.to_string()
-}
-
 /// Where an order belongs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sent {
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -3,12 +3,14 @@
 //! A leader exists for one term. It plans on the committed state plus what it has
 //! proposed itself, and sends an order only after the start is committed.
 
+mod ask;
 mod channel;
 mod io;
 mod order;
 mod permits;
 mod place;
 mod plan;
+mod replies;
 mod requests;
 mod workers;
 
--- a/src/core/plane/lead/requests.rs
+++ b/src/core/plane/lead/requests.rs
@@ -105,7 +105,7 @@
         let id = submission.id;
         let repeated = state.jobs.contains_key(&id);
         self.note(Note::JobAccepted {
-            job: super::io::job_text(id),
+            job: id.to_string(),
             queue: queue.name.clone(),
             account: account.clone(),
             repeated: repeated || self.submitting.contains_key(&id),
@@ -116,7 +116,7 @@
             return;
         }
         if let Err(err) = submission.check() {
-            self.note_refusal(state, super::io::job_text(id), err.clone());
+            self.note_refusal(state, id.to_string(), err.clone());
             self.answer(call, Answer::Malformed(err));
             return;
         }
@@ -125,7 +125,7 @@
                 retry_ms: OVERLOAD_RETRY_MS,
                 why: Refusal::Overloaded,
             };
-            self.note_refusal(state, super::io::job_text(id), "too many open jobs".into());
+            self.note_refusal(state, id.to_string(), "too many open jobs".into());
             self.answer(call, answer);
             return;
         }
@@ -150,7 +150,7 @@
             return;
         }
         self.note(Note::JobCancelled {
-            job: super::io::job_text(id),
+            job: id.to_string(),
         });
         self.cancelling.insert(id);
         let command = Command::Cancel {
