Keep logs of failed tests, and share ports between test programs

It had opened its log but made no data folder, and between the two it only binds its addresses, so another program had one of them. Two test programs look for free ports in the same range and can both find one free before either's daemon binds it. Change: a program holds a second port for each that it gives out, and others pass it over.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,11 +4,11 @@
 pub mod relay;
 
 use std::collections::HashSet;
-use std::net::SocketAddr;
+use std::fs::OpenOptions;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -34,7 +34,8 @@
     [team big]\nshare = 3\nlimit = 100\n[team small]\nshare = 1\nlimit = 100\n\
     [service orders]\ndeadline = 20s\nrun-limit = 2s\nanswer-limit = 64KB\nbody-limit = 16KB\n";
 
-/// A folder that is removed at the end of its test.
+/// A folder that is removed at the end of its test, and kept with the daemons'
+/// logs if the test fails.
 pub struct Folder(PathBuf);
 
 impl Folder {
@@ -52,6 +53,10 @@
 
 impl Drop for Folder {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("logs are kept in {}", self.0.display());
+            return;
+        }
         let _ = std::fs::remove_dir_all(&self.0);
     }
 }
@@ -72,15 +77,26 @@
     }
 
     fn spawn(&mut self) {
+        let errors = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.settings.with_extension("err"))
+            .expect("error file");
         let child = Command::new(env!("CARGO_BIN_EXE_plantaincrossd"))
             .arg("--settings")
             .arg(&self.settings)
-            .stderr(Stdio::null())
+            .stderr(errors)
             .spawn()
             .expect("daemon starts");
         self.child = Some(child);
     }
 
+    /// Returns its log so far.
+    pub fn log(&self) -> String {
+        let path = self.settings.with_extension("log");
+        std::fs::read_to_string(path).expect("a log")
+    }
+
     fn signal(&self, name: &str) {
         let pid = self.pid().to_string();
         let sent = Command::new("kill").args([name, &pid]).status();
@@ -383,23 +399,29 @@
 }
 
 /// First port for daemons, below those that the kernel takes for connections.
-const PORT_MIN: u32 = 12_000;
+const PORT_MIN: u16 = 12_000;
 /// Number of such ports.
-const PORT_COUNT: u32 = 18_000;
+const PORT_COUNT: u16 = 9_000;
 
-/// Returns a port that no other test of this process gets and that no outgoing
-/// connection takes before its daemon is bound to it.
+/// Returns a port that no other test gets, of this process or another, and that no
+/// outgoing connection can take. The process holds a second port for each one that it
+/// has given out, so that tests of other processes pass it over.
 fn free_port() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let first = std::process::id().wrapping_mul(97);
-    loop {
-        let turn = NEXT.fetch_add(1, Ordering::Relaxed);
+    static HELD: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
+    let bind = |port: u16| TcpListener::bind(("127.0.0.1", port));
+    let mut held = HELD.lock().expect("ports lock");
+    let first = std::process::id().wrapping_mul(97) as u16;
+    for turn in 0..PORT_COUNT {
         let port = PORT_MIN + first.wrapping_add(turn) % PORT_COUNT;
-        let address: SocketAddr = ([127, 0, 0, 1], port as u16).into();
-        if std::net::TcpListener::bind(address).is_ok() {
-            return address;
+        let Ok(claim) = bind(port + PORT_COUNT) else {
+            continue;
+        };
+        if bind(port).is_ok() {
+            held.push(claim);
+            return ([127, 0, 0, 1], port).into();
         }
     }
+    panic!("no free port for a test");
 }
 
 /// Returns the kind of a refusal and whether it ran.
