Stop runs that may have reached a later incarnation before they start again

A worker crashed and was back at once under its id and address. The leader, which did not know yet, sent it a start, and the new incarnation began the run. Its report then made the leader end all runs of the earlier incarnation, and the task started elsewhere some 40 ms before the run that was "not known here" had stopped. While it stopped, the worker also took new runs, over its capacity. Ruled out: leases and fences (no leader changed in any of the three). Change: runs of the earlier incarnation that no list has shown are stopped at the later one and end only when its list no longer shows them; a worker whose list shows runs that it should not have gets nothing new; a list of another incarnation no longer ends the runs of the one that was asked, its report does. Looks name the ends that are stored only until the worker has heard it, as a later incarnation numbers its ends anew and would forget some that nobody has read. Test: the fake workers come back under their ids in the seeded schedules, where orders and waiting looks die with the connection of the earlier incarnation. Three workers of each kind now join at the end, so that every job must still end.

--- a/src/core/plane/lead/channel.rs
+++ b/src/core/plane/lead/channel.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::core::plane::types::{Amount, TaskName};
+use crate::core::plane::types::{Amount, TaskName, WorkerKey};
 use crate::core::time::Moment;
 
 /// A worker that left an order unanswered for this long gets nothing new.
@@ -73,6 +73,9 @@
     pub ordered_at: Moment,
     /// Whether the start had no answer.
     pub in_doubt: bool,
+    /// The earlier incarnation that it was ordered from, if its start may have reached
+    /// this one. Its stop is ordered, and its end is reported for the earlier one.
+    pub from: Option<WorkerKey>,
     /// When a stop was last ordered.
     pub stop_at: Option<Moment>,
     /// When the worker confirmed a stop.
@@ -116,6 +119,10 @@
     live: BTreeMap<TaskName, Live>,
     /// Runs whose end is proposed and not committed.
     ending: usize,
+    /// Runs that an earlier incarnation was to start.
+    inherited: usize,
+    /// Runs in its latest list that it should not have.
+    pub strays: usize,
     /// Sums of what the runs are to placing.
     pub urgent_cpu: i64,
     /// Runs with users of their own.
@@ -157,6 +164,8 @@
             unanswered_since: None,
             live: BTreeMap::new(),
             ending: 0,
+            inherited: 0,
+            strays: 0,
             urgent_cpu: 0,
             serving: 0,
             filling: 0,
@@ -187,6 +196,7 @@
         self.urgent_cpu += live.nature.urgent_cpu;
         self.serving += usize::from(live.nature.serving);
         self.filling += usize::from(live.nature.filling);
+        self.inherited += usize::from(live.from.is_some());
         self.live.insert(task, live);
     }
 
@@ -199,6 +209,7 @@
         self.urgent_cpu -= live.nature.urgent_cpu;
         self.serving -= usize::from(live.nature.serving);
         self.filling -= usize::from(live.nature.filling);
+        self.inherited -= usize::from(live.from.is_some());
     }
 
     /// Records that a run's end is proposed. False if it is not known or was before.
@@ -244,9 +255,12 @@
         self.is_unheard(now, UNHEARD_MAX / 2)
     }
 
-    /// Returns whether new runs may be ordered.
+    /// Returns whether new runs may be ordered. Runs that the state does not count for
+    /// the worker take room of it.
     pub fn is_usable(&self, now: Moment) -> bool {
         self.adopted
+            && self.inherited == 0
+            && self.strays == 0
             && self.unanswered_since.is_none()
             && self.departing.is_none()
             && !self.is_unheard(now, UNHEARD_MAX)
--- a/src/core/plane/lead/io.rs
+++ b/src/core/plane/lead/io.rs
@@ -404,6 +404,8 @@
     pub run: Option<(TaskName, u32)>,
     /// Whether it is a start.
     pub is_start: bool,
+    /// Ends that a look said to be stored.
+    pub seen: u64,
     /// When it was sent.
     pub at: crate::core::time::Moment,
 }
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -245,8 +245,9 @@
     }
 
     fn progressed(&mut self, now: Now, state: &State, ends: &[End], starts: &[Start]) {
+        let mut places = BTreeSet::new();
         for end in ends {
-            self.ended(state, end);
+            places.insert(self.ended(state, end));
         }
         let broken: BTreeSet<JobId> = ends
             .iter()
@@ -259,8 +260,8 @@
         for start in starts {
             self.started(now, state, *start);
         }
-        for end in ends {
-            self.advance_seen(now, end.worker);
+        for worker in places {
+            self.advance_seen(now, worker);
         }
     }
 
--- a/src/core/plane/lead/replies.rs
+++ b/src/core/plane/lead/replies.rs
@@ -12,6 +12,9 @@
 
 /// Ends that one list holds at most.
 const ENDS_MAX: usize = 500;
+/// Time to the next look at a worker that needs none: longer than any term lasts
+/// without a reason to look.
+const NEVER: Duration = Duration::from_secs(3_600);
 
 impl Lead {
     pub(super) fn take_reply(&mut self, now: Now, state: &State, number: u64, reply: Reply) {
@@ -36,11 +39,15 @@
     }
 
     fn replaced(&mut self, now: Now, key: WorkerKey) {
+        self.set_aside(now, key);
+        self.propose(Command::Depart(key), Vec::new());
+    }
+
+    fn set_aside(&mut self, now: Now, key: WorkerKey) {
         let channel = self.channels.get_mut(&key).expect("known worker");
         channel.adopted = false;
         channel.look = None;
-        channel.look_at = now.at + Duration::from_secs(3_600);
-        self.propose(Command::Depart(key), Vec::new());
+        channel.look_at = now.at + NEVER;
     }
 
     fn missed(&mut self, now: Now, state: &State, sent: Sent) {
@@ -153,10 +160,13 @@
         };
         let born_ms = state.worker(key).report.born_ms;
         if lists.born_ms.is_some_and(|born| born != born_ms) {
-            self.replaced(now, key);
+            // A later incarnation has the id now, and what was ordered may have reached
+            // it. Its report tells more.
+            self.set_aside(now, key);
             return;
         }
         channel.hear(now.at, clock);
+        channel.told_seen = channel.told_seen.max(sent.seen);
         let first = !channel.adopted;
         channel.adopted = true;
         if first {
@@ -178,12 +188,12 @@
         channel.look_at = if is_storing {
             // Brought forward once the ends are stored.
             now.at + ANSWER_TIMEOUT
-        } else if !channel.live().is_empty() {
+        } else if !channel.live().is_empty() || channel.strays > 0 {
             now.at
         } else if channel.seen > channel.told_seen {
             now.at + TELL_SEEN_AFTER
         } else {
-            now.at + Duration::from_secs(3_600)
+            now.at + NEVER
         };
     }
 
@@ -196,9 +206,12 @@
         first: bool,
         lists: &Lists,
     ) {
+        let mut strays = 0;
         for row in &lists.running {
-            self.take_running(now, state, key, row);
+            strays += usize::from(!self.take_running(now, state, key, row));
         }
+        let channel = self.channels.get_mut(&key).expect("known worker");
+        channel.strays = strays;
         for row in &lists.ended {
             self.take_end(now, state, key, row);
         }
@@ -208,11 +221,12 @@
         self.advance_seen(now, key);
     }
 
-    fn take_running(&mut self, now: Now, state: &State, key: WorkerKey, row: &RunningRow) {
+    // Takes a run that the worker lists. False if it should not be there.
+    fn take_running(&mut self, now: Now, state: &State, key: WorkerKey, row: &RunningRow) -> bool {
         let channel = self.channels.get_mut(&key).expect("known worker");
         let Some(live) = channel.run_mut(row.task, row.run) else {
             self.stop(now, state, key, row.task, row.run, "not known here");
-            return;
+            return false;
         };
         live.listed = true;
         live.in_doubt = false;
@@ -221,6 +235,7 @@
             Some((percent, _)) if percent == row.percent => {}
             _ => live.progress = Some((row.percent, now.at)),
         }
+        true
     }
 
     fn take_end(&mut self, now: Now, state: &State, key: WorkerKey, row: &EndRow) {
@@ -241,7 +256,7 @@
         self.ends.push(End {
             task: row.task,
             run: row.run,
-            worker: key,
+            worker: live.from.unwrap_or(key),
             how: row.how,
             checkpoint: row.checkpoint.clone(),
         });
@@ -331,7 +346,8 @@
                 continue;
             }
             // The first look of a term fences off whatever was ordered before it.
-            if first || before(live.confirmed_at) || before(live.stopped_at) {
+            let fenced = first && live.from.is_none();
+            if fenced || before(live.confirmed_at) || before(live.stopped_at) {
                 voids.push((task, live.run));
             } else if live.in_doubt && live.stop_at.is_none() {
                 stops.push((task, live.run));
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -145,17 +145,23 @@
         } else {
             Duration::ZERO
         };
-        let seen = channel.seen;
+        // A later incarnation that has the id numbers its ends anew, and would forget
+        // those that were never read.
+        let seen = if channel.seen > channel.told_seen {
+            channel.seen
+        } else {
+            0
+        };
         let sent = Sent {
             worker: key,
             run: None,
             is_start: false,
+            seen,
             at: now.at,
         };
         let number = self.order(now, state, key, sent, Work::Look { until, seen, wait });
         let channel = self.channels.get_mut(&key).expect("known worker");
         channel.look = Some(number);
-        channel.told_seen = seen;
     }
 
     pub(super) fn started(&mut self, now: Now, state: &State, start: Start) {
@@ -209,6 +215,7 @@
             worker,
             run: Some((task, run)),
             is_start: true,
+            seen: 0,
             at: now.at,
         };
         self.order(now, state, worker, sent, work);
@@ -238,6 +245,7 @@
             worker: key,
             run: Some((task, run)),
             is_start: false,
+            seen: 0,
             at: now.at,
         };
         self.order(now, state, key, sent, Work::Stop { task, run });
@@ -279,10 +287,11 @@
         if !channel.begin_end(task, run) {
             return;
         }
+        let from = channel.live()[&task].from;
         self.ends.push(End {
             task,
             run,
-            worker: key,
+            worker: from.unwrap_or(key),
             how: How::Void,
             checkpoint: None,
         });
@@ -316,21 +325,65 @@
         }
     }
 
-    pub(super) fn ended(&mut self, state: &State, end: &End) {
-        if state
-            .worker(end.worker)
-            .runs
-            .get(&end.task)
-            .is_some_and(|r| r.run == end.run)
-        {
-            return;
+    /// Forgets a run whose end is committed. Returns the worker that had it.
+    pub(super) fn ended(&mut self, state: &State, end: &End) -> WorkerKey {
+        let records = &state.worker(end.worker).runs;
+        if records.get(&end.task).is_some_and(|r| r.run == end.run) {
+            return end.worker;
         }
-        if let Some(channel) = self.channels.get_mut(&end.worker)
-            && channel.run_mut(end.task, end.run).is_some()
-        {
-            channel.remove(end.task);
-            self.places.remove(&(end.task, end.worker));
+        let places: Vec<WorkerKey> = self
+            .places
+            .range((end.task, WorkerKey(0))..)
+            .take_while(|(task, _)| *task == end.task)
+            .map(|(_, key)| *key)
+            .collect();
+        for key in places {
+            let channel = self.channels.get_mut(&key).expect("known worker");
+            let meant = channel
+                .run_mut(end.task, end.run)
+                .is_some_and(|live| live.from.unwrap_or(key) == end.worker);
+            if meant {
+                channel.remove(end.task);
+                self.places.remove(&(end.task, key));
+                return key;
+            }
+        }
+        end.worker
+    }
+
+    // Ends the runs of an earlier incarnation that a later one has replaced. Where both
+    // have the same id, the start of a run that no list has shown may have reached the
+    // later one. Such a run is stopped there before it counts as ended.
+    fn replace(&mut self, now: Now, state: &State, old: WorkerKey, new: WorkerKey) {
+        let same_id = state.worker(old).report.id == state.worker(new).report.id;
+        let runs: Vec<(TaskName, Live)> = self.channels[&old]
+            .live()
+            .iter()
+            .filter(|(_, live)| same_id && !live.listed && !live.ending)
+            .map(|(&task, &live)| (task, live))
+            .collect();
+        let lapse_by = self.lapse_by(now.at);
+        for (task, live) in runs {
+            self.channels
+                .get_mut(&old)
+                .expect("known worker")
+                .remove(task);
+            self.places.remove(&(task, old));
+            let channel = self.channels.get_mut(&new).expect("known worker");
+            channel.lapse_by = channel.lapse_by.max(lapse_by);
+            let inherited = Live {
+                run: live.run,
+                ordered_at: now.at,
+                in_doubt: true,
+                from: live.from.or(Some(old)),
+                ..Live::default()
+            };
+            channel.insert(task, inherited);
+            self.places.insert((task, new));
+            let why = "its start may have reached a later incarnation";
+            self.stop(now, state, new, task, live.run, why);
         }
+        self.void_all(old, state, "a later incarnation");
     }
 
     /// Lets a worker know which of its ends are stored.
@@ -377,7 +430,7 @@
             .filter(|&other| state.worker(other).gone)
             .collect();
         for other in ended {
-            self.void_all(other, state, "a later incarnation");
+            self.replace(now, state, other, key);
         }
     }
 
--- a/tests/plane.rs
+++ b/tests/plane.rs
@@ -77,10 +77,16 @@
                 let id = format!("x{second}");
                 cell.add_worker(&id, at);
             }
+            4 => cell.restart(at),
             _ => {}
         }
     }
     cell.trouble = Trouble::default();
+    // Crashes may leave only workers that a step has no permission for. Each step has it
+    // for two of these.
+    for at in 0..3 {
+        cell.add_worker(&format!("y{at}"), at);
+    }
     for _ in 0..60 {
         cell.run_for(1_000);
         if cell.unfinished().is_empty() && cell.running() == 0 {
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -96,8 +96,11 @@
 
 #[derive(Clone, Debug)]
 enum Event {
-    Arrive(Box<Order>, u64),
-    Look(Box<Order>, u64),
+    /// An order that reaches a worker; one that was held up on its connection, only the
+    /// incarnation that had the connection.
+    Arrive(Box<Order>, u64, Option<u64>),
+    /// The end of a look's wait at a worker, in the incarnation that took it.
+    Look(Box<Order>, u64, u64),
     Answer(u64, Reply),
     Timeout(u64),
     Commit(u64, Box<Command>, Vec<(Call, Answer)>),
@@ -390,16 +393,18 @@
             self.schedule(WAY_MS, Event::Answer(key, Reply::NotSent));
             return;
         }
+        let mut life = None;
         let delay = if self.rng.random_ratio(self.trouble.late.min(1_000), 1_000) {
             self.open.remove(&key);
             self.schedule(timeout, Event::Answer(key, Reply::NoAnswer));
             self.open.insert(key);
+            life = at.map(|at| self.workers[at].born_at);
             self.rng.random_range(2_000..12_000)
         } else {
             WAY_MS
         };
         if let Some(at) = at {
-            self.schedule(delay, Event::Arrive(Box::new(order), at as u64));
+            self.schedule(delay, Event::Arrive(Box::new(order), at as u64, life));
         }
     }
 
@@ -437,8 +442,17 @@
     fn take(&mut self, event: Event) {
         let now = self.present();
         match event {
-            Event::Arrive(order, at) => self.arrive(&order, at as usize),
-            Event::Look(order, at) => self.answer_look(&order, at as usize),
+            Event::Arrive(order, at, life) => {
+                let at = at as usize;
+                if life.is_none_or(|born| born == self.workers[at].born_at) {
+                    self.arrive(&order, at);
+                }
+            }
+            Event::Look(order, at, life) => {
+                if life == self.workers[at as usize].born_at {
+                    self.answer_look(&order, at as usize);
+                }
+            }
             Event::Answer(key, reply) => {
                 if !self.open.remove(&key) || key >> 40 != self.term {
                     return;
@@ -532,10 +546,17 @@
                 }
                 self.reply(order, at, Reply::Done(clock));
             }
-            Work::Look { until, wait, .. } if !fenced => {
+            Work::Look { until, seen, wait } if !fenced => {
                 if let Some(until) = until {
                     worker.deadline = worker.deadline.max((*until).min(most));
                 }
+                // An end whose worker's lease lapsed before it was noted need not be known.
+                for end in worker.ended.iter().filter(|e| e.number <= *seen) {
+                    if end.how == How::Done && end.number > worker.lapsed_to {
+                        self.done_noted.insert(end.task);
+                    }
+                }
+                worker.ended.retain(|end| end.number > *seen);
                 let wait = if worker.ended.is_empty() {
                     wait.as_millis() as u64
                 } else {
@@ -544,7 +565,7 @@
                 // A look that waits is answered when its time is over or at an end.
                 let first = worker.runs.values().map(|r| r.ends).min();
                 let until_end = first.map_or(wait, |ends| ends.saturating_sub(self.now) + 1);
-                let event = Event::Look(Box::new(order.clone()), at as u64);
+                let event = Event::Look(Box::new(order.clone()), at as u64, worker.born_at);
                 self.schedule(wait.min(until_end), event);
             }
             Work::Stop { .. } | Work::Look { .. } => {}
@@ -552,21 +573,11 @@
     }
 
     fn answer_look(&mut self, order: &Order, at: usize) {
-        let Work::Look { seen, .. } = &order.task else {
-            return;
-        };
         if !self.reaches(at) || self.workers[at].fence > order.fence {
             return;
         }
         let clock = self.workers[at].clock(self.now);
-        let worker = &mut self.workers[at];
-        // An end whose worker's lease lapsed before it was noted need not be known.
-        for end in worker.ended.iter().filter(|e| e.number <= *seen) {
-            if end.how == How::Done && end.number > worker.lapsed_to {
-                self.done_noted.insert(end.task);
-            }
-        }
-        worker.ended.retain(|end| end.number > *seen);
+        let worker = &self.workers[at];
         let now = self.now;
         let lists = Lists {
             born_ms: Some(worker.report.born_ms),
@@ -702,6 +713,25 @@
         worker.runs.clear();
     }
 
+    /// Crashes a worker and starts it again at once, under its id and at its address.
+    /// Orders that are on their way to it still arrive.
+    pub fn restart(&mut self, at: usize) {
+        let now = self.now;
+        let worker = &mut self.workers[at];
+        worker.up = true;
+        worker.runs.clear();
+        worker.barred.clear();
+        worker.ended.clear();
+        worker.next_end = 0;
+        worker.lapsed_to = 0;
+        worker.fence = 0;
+        worker.deadline = 0;
+        worker.born_at = now;
+        worker.report.born_ms = now;
+        let report = worker.report.clone();
+        self.query(Query::Report(Box::new(report)));
+    }
+
     fn check(&mut self) {
         for (&id, job) in &self.state.jobs {
             if job.standing == Standing::Completed {
