--- a/src/cell/control/mod.rs
+++ b/src/cell/control/mod.rs
@@ -123,7 +123,7 @@
         id,
         name: settings.name.clone(),
         zone: settings.zone.clone(),
-        address: settings.peer.to_string(),
+        address: settings.announced.to_string(),
         replica: wal.replica(),
         durable: true,
         founders: settings.seeds.clone(),
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -38,8 +38,10 @@
     pub name: String,
     /// Availability zone.
     pub zone: String,
-    /// Address for peers.
+    /// Address to listen at for peers.
     pub peer: SocketAddr,
+    /// Address under which peers reach it; another one behind a proxy.
+    pub announced: SocketAddr,
     /// Peer addresses of some control instances.
     pub seeds: Vec<String>,
     /// Secret that all instances of the cell share.
--- a/src/client.rs
+++ b/src/client.rs
@@ -38,7 +38,8 @@
         }
     }
 
-    /// Sends a request and reads its whole answer.
+    /// Sends a request and reads its whole answer. The address is the host, unless
+    /// `headers` name one.
     ///
     /// # Errors
     ///
@@ -50,10 +51,10 @@
         headers: &[(&str, &str)],
         body: impl Into<Bytes>,
     ) -> Result<Response<Bytes>> {
-        let mut builder = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", self.address.to_string());
+        let mut builder = Request::builder().method(method).uri(path);
+        if !headers.iter().any(|(name, _)| *name == "host") {
+            builder = builder.header("host", self.address.to_string());
+        }
         if let Some(token) = &self.token {
             builder = builder.header("authorization", format!("Bearer {token}"));
         }
