Count jobs that were accepted and are not in the state as unfinished

Cause: a mutation that answers a job's caller before its entry is committed was caught by no test: schedules asked only for jobs that the state holds. Change: a job whose caller was told that it is accepted must end, whether the state has it or not.

--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -836,9 +836,13 @@
 
     /// Returns accepted jobs that have neither completed nor been cancelled.
     pub fn unfinished(&self) -> Vec<JobId> {
+        let is_accepted = |id: &JobId| {
+            let answer = self.answers.get(&self.handed[id]);
+            answer == Some(&Answer::Done) || self.state.jobs.contains_key(id)
+        };
         self.sizes
             .keys()
-            .filter(|id| self.state.jobs.contains_key(id))
+            .filter(|id| is_accepted(id))
             .filter(|id| !self.completed.contains_key(id) && !self.cancelled.contains(id))
             .copied()
             .collect()
