Look again at a worker with runs to stop only after their stop

An idle worker that lists a run that it should not have was looked at again at once, without a wait, until the run had stopped: up to a hundred looks and stops in the 200 ms that a stop may take. Change: the next look comes after the time of a stop. Looks at workers with runs of their own wait for an end, as before.

--- a/src/core/plane/lead/replies.rs
+++ b/src/core/plane/lead/replies.rs
@@ -188,8 +188,11 @@
         channel.look_at = if is_storing {
             // Brought forward once the ends are stored.
             now.at + ANSWER_TIMEOUT
-        } else if !channel.live().is_empty() || channel.strays > 0 {
+        } else if !channel.live().is_empty() {
             now.at
+        } else if channel.strays > 0 {
+            // Their stops are ordered.
+            now.at + self.bounds.stop
         } else if channel.seen > channel.told_seen {
             now.at + TELL_SEEN_AFTER
         } else {
