Count a team's demand for units in its own zone alone

Cause: an entry instance that starves for 300 ms asks the leaders of other zones for slots and reports its demand there too. The units of a team's limit always come from the instance's own zone. The division among instances knew that; the zone's report to the root leader did not, so that both zones showed the root leader the same 24 requests and were given half the units each. The zone without instances that could use them kept its half: its leader had none to recall from and the root saw no surplus.

Seen in lines added for a trial to take_wants, take_recalls and report_wants: both zones report 24 at once, claims [24, 24], goals [4, 4], no recall. Ruled out: units of an earlier leader (units_clear was true everywhere), recalls lost on the way, the division in the zone, the empty entry of a new leader.

Test: tests/allocator.rs; two of its cases fail without the change.

--- a/src/core/allocator/division.rs
+++ b/src/core/allocator/division.rs
@@ -194,9 +194,9 @@
             .map(|(_, h)| Claim {
                 weight: 1,
                 demand: h
-                    .demands
+                    .unit_demands()
                     .iter()
-                    .filter(|d| d.team == team && h.local && !h.leaving)
+                    .filter(|d| d.team == team)
                     .map(|d| d.waiting + d.running)
                     .sum(),
                 standing: h.local && !h.leaving,
--- a/src/core/allocator/mod.rs
+++ b/src/core/allocator/mod.rs
@@ -62,6 +62,18 @@
     sent_at: u64,
 }
 
+impl Holder {
+    /// Returns the requests that use units of this zone. An instance of another zone
+    /// asks for slots here at times; the units for them are those of its own zone.
+    fn unit_demands(&self) -> &[wire::Demand] {
+        if self.local && !self.leaving {
+            &self.demands
+        } else {
+            &[]
+        }
+    }
+}
+
 /// An account of a holder that is gone, until its work has surely ended.
 #[derive(Clone, Copy, Debug)]
 struct Linger {
@@ -164,7 +176,7 @@
     /// the returned counter.
     pub fn unit_demands(&self) -> Vec<UnitDemand> {
         let mut requests: BTreeMap<&str, u64> = BTreeMap::new();
-        for demand in self.holders.values().flat_map(|h| &h.demands) {
+        for demand in self.holders.values().flat_map(Holder::unit_demands) {
             *requests.entry(&demand.team).or_default() += demand.waiting + demand.running;
         }
         self.units
--- /dev/null
+++ b/tests/allocator.rs
@@ -0,0 +1,82 @@
+//! What a zone leader tells of its demand and gives for it.
+
+use std::time::Duration;
+
+use plantaincross::core::allocator::Allocator;
+use plantaincross::core::registry::InstanceId;
+use plantaincross::core::time::Moment;
+use plantaincross::wire::{Demand, Report};
+
+const NEAR: InstanceId = InstanceId(1);
+const FAR: InstanceId = InstanceId(2);
+
+/// A leader of zone a that holds four units of one team's limit.
+fn leader() -> Allocator {
+    let run_limit = Duration::from_secs(30);
+    let mut allocator = Allocator::new("a".into(), 1, true, Moment::ZERO, run_limit);
+    allocator.set_units("big", 1, 4, 0);
+    allocator
+}
+
+/// Lets an instance open its accounts and report what waits for the team.
+fn report(allocator: &mut Allocator, from: InstanceId, zone: &str, waiting: u64, leaving: bool) {
+    let opening = Report {
+        from_zone: zone.into(),
+        opening: true,
+        ..Report::default()
+    };
+    let epoch = allocator.report(Moment::ZERO, from, &opening).epoch;
+    let demand = Demand {
+        service: "orders".into(),
+        team: "big".into(),
+        waiting,
+        running: 0,
+    };
+    let opening = Report {
+        epoch,
+        number: 1,
+        demands: vec![demand],
+        leaving,
+        ..opening
+    };
+    allocator.report(Moment::ZERO, from, &opening);
+}
+
+fn demand(allocator: &Allocator) -> u64 {
+    let demands = allocator.unit_demands();
+    demands.iter().map(|d| d.demand).sum()
+}
+
+macro_rules! demands {
+    ($($name:ident: $reports:expr => $expected:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            let mut allocator = leader();
+            for (from, zone, waiting, leaving) in $reports {
+                report(&mut allocator, from, zone, waiting, leaving);
+            }
+            assert_eq!(demand(&allocator), $expected);
+        })*
+    };
+}
+
+demands! {
+    instances_of_the_zone_demand_its_units: [(NEAR, "a", 6, false)] => 6;
+    // The other zone's leader hears of the same requests. Counted in both, they would
+    // hold units where nobody can use them.
+    borrowers_of_slots_demand_no_units_here: [(NEAR, "a", 6, false), (FAR, "b", 24, false)] => 6;
+    leaving_instances_demand_nothing: [(NEAR, "a", 6, true)] => 0;
+}
+
+#[test]
+fn units_go_to_instances_of_the_zone_alone() {
+    let mut allocator = leader();
+    report(&mut allocator, FAR, "b", 24, false);
+    report(&mut allocator, NEAR, "a", 6, false);
+    let given: Vec<(InstanceId, u64)> = allocator
+        .tick(Moment::ZERO)
+        .into_iter()
+        .flat_map(|(to, allotment)| allotment.units.into_iter().map(move |u| (to, u.given)))
+        .collect();
+    assert_eq!(given, [(NEAR, 4)]);
+}
