--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -39,9 +39,10 @@
 }
 
 async fn serve(settings: Settings) -> Result<()> {
-    let started = node::start(settings).await?;
+    // A stop during the start is orderly too.
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
+    let started = node::start(settings).await?;
     let shutdown = async move {
         tokio::select! {
             _ = term.recv() => {}
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -7,6 +7,7 @@
 use plantaincross::core::control::PEER_SILENCE_MAX;
 use plantaincross::standin::Behaviour;
 use support::{Cell, PATIENCE, kind};
+use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
 
 const ZONE: [&str; 3] = ["a", "a", "a"];
@@ -184,6 +185,19 @@
         }
     }
 
+    async fn stop_during_the_start_is_orderly() {
+        for _ in 0..10 {
+            let mut cell = Cell::start(&["a"]).await;
+            let started = Instant::now();
+            while TcpStream::connect(cell.instances[0].peer).await.is_err() {
+                assert!(started.elapsed() < PATIENCE);
+                tokio::task::yield_now().await;
+            }
+            cell.stop(0);
+            assert!(cell.ended(0).await);
+        }
+    }
+
     async fn planned_stop_under_load_cuts_nothing() {
         let mut cell = Cell::serving(&ZONE, 3, Duration::from_millis(30)).await;
         let mut tasks = Vec::new();
