Work out a question for permits only if an instance can ask it

It was done for each waiting gang in each round, also while no instance was idle, and did not count as work of the round, so that the pause after a round was too short. With hundreds of jobs waiting after the restart, planning took more than the 0.4 core of the machine; leaders sent no heartbeats for 0.5 s and lost their places, and the next one began with the same backlog.

Test: gangs_that_nobody_asks_for_hold_up_no_others; 13 of 40 jobs without permission did not start within 250 ms before, all do now.

The line `paused` now tells how much of the time the instance worked, which the search lacked.

--- a/src/cell/control/mod.rs
+++ b/src/cell/control/mod.rs
@@ -208,6 +208,7 @@
 impl<P: Port> Control<P> {
     async fn run(mut self, mut inboxes: Inboxes) {
         let mut last = self.clock.now();
+        let mut busy = Duration::ZERO;
         loop {
             let wait = self.pause();
             let resign = Arc::clone(&self.resign);
@@ -224,13 +225,16 @@
             let now = self.clock.now();
             let gap = now.since(last);
             if gap > PAUSE_MIN {
-                let ms = gap.as_millis() as u64;
-                self.journal.write(&Line::Paused { ms });
+                self.journal.write(&Line::Paused {
+                    ms: gap.as_millis() as u64,
+                    busy_ms: busy.as_millis() as u64,
+                });
             }
             last = now;
             self.drain(&mut inboxes);
             self.tick();
             self.pump();
+            busy = self.clock.now().since(last);
         }
     }
 
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -114,6 +114,10 @@
     Paused {
         /// For how long, in milliseconds.
         ms: u64,
+        /// How much of it passed while the instance worked on its inputs, in
+        /// milliseconds: all of it if it has too much to do, or if it was stopped
+        /// meanwhile; little if it was stopped while it waited.
+        busy_ms: u64,
     },
     /// A caller's request was answered.
     Request {
--- a/src/core/plane/lead/ask.rs
+++ b/src/core/plane/lead/ask.rs
@@ -51,11 +51,12 @@
         placed: usize,
     ) {
         let step = waiting.step;
-        if self.permits.is_waiting(now.at, step) {
-            return;
-        }
         let needs_all = needs_all(state, step);
         let most = named_count(terms, needs_all);
+        let is_slow = expected(terms, most) >= SLOW_MIN;
+        if self.permits.is_waiting(now.at, step) || !self.permits.can_ask(now.at, is_slow) {
+            return;
+        }
         let wanted = waiting.count - placed;
         let mut named: Vec<WorkerKey> = match self.permits.known(step) {
             Some(known) if !known.good.is_empty() || !known.bad.is_empty() => {
@@ -73,7 +74,6 @@
             self.permits.defer(step, now.at + ASK_AGAIN);
             return;
         }
-        let is_slow = expected(terms, most) >= SLOW_MIN;
         let mut parts = if needs_all && is_slow {
             self.permits.parts(now.at)
         } else {
--- a/src/core/plane/lead/permits.rs
+++ b/src/core/plane/lead/permits.rs
@@ -192,6 +192,11 @@
             .retain(|step, known| known.asking > 0 || keep(*step));
     }
 
+    /// Returns whether an instance could ask now.
+    pub fn can_ask(&self, now: Moment, is_slow: bool) -> bool {
+        self.choose(now, is_slow).is_some()
+    }
+
     /// Returns how many slow questions of one step may be under way at once: a part of
     /// what the idle instances could ask, so that other steps find one too.
     pub fn parts(&self, now: Moment) -> usize {
--- a/src/core/plane/lead/place.rs
+++ b/src/core/plane/lead/place.rs
@@ -142,6 +142,7 @@
             seat.free_later -= what.room;
             count += 1;
         }
+        self.count(1 + count);
         count
     }
 
--- a/tests/plane.rs
+++ b/tests/plane.rs
@@ -410,6 +410,39 @@
     assert!(in_time * 10 >= GANGS * 9, "waits of gangs: {waits:?} ms");
 }
 
+// Load: many gangs wait for permits while no instance can ask. What needs none must not
+// wait for the leader to work out their questions again and again.
+#[test]
+fn gangs_that_nobody_asks_for_hold_up_no_others() {
+    const GANGS: u64 = 200;
+    // The fixed part of the shortest goal.
+    const WAIT_MAX: u64 = 250;
+    let mut cell = cell(15, 350);
+    cell.askers = 0;
+    cell.take_over();
+    cell.run_for(500);
+    for id in 1..=GANGS {
+        let step = StepSpec {
+            gang: true,
+            ..tasks(20, 9, 4_000)
+        };
+        cell.submit("gang", id, vec![step], 4_000);
+    }
+    cell.run_for(500);
+    let mut waits = Vec::new();
+    for id in GANGS + 1..=GANGS + 40 {
+        let sent = cell.now;
+        cell.submit("batch", id, vec![tasks(1, 8, 1_000)], 1_000);
+        cell.run_for(WAIT_MAX);
+        let step = StepName {
+            job: JobId(id),
+            ..StepName::default()
+        };
+        waits.push(cell.first_start.get(&step).map(|at| at - sent));
+    }
+    assert!(waits.iter().all(Option::is_some), "waits: {waits:?} ms");
+}
+
 fn finish_all(cell: &mut Cell, jobs: u64, ms: u64) -> Vec<u64> {
     let mut sent = Vec::new();
     for id in 1..=jobs {
