Write a line for each end of a job, and name the worker in every end of a run

Tests: every_end_of_a_job_has_a_line; the schedules check that no end is told twice and that each named worker is known (the second failed at once before).

--- a/src/core/plane/lead/io.rs
+++ b/src/core/plane/lead/io.rs
@@ -301,6 +301,20 @@
         /// Job.
         job: String,
     },
+    /// All tasks of a job are done.
+    JobCompleted {
+        /// Job.
+        job: String,
+        /// Time since it was accepted, in milliseconds.
+        took_ms: u64,
+    },
+    /// A task or gang of a job failed as often as allowed.
+    JobFailed {
+        /// Job.
+        job: String,
+        /// Time since it was accepted, in milliseconds.
+        took_ms: u64,
+    },
     /// A run was placed.
     Placed {
         /// Task.
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -26,6 +26,7 @@
 pub use permits::{Permits, expected, named_count};
 pub use place::{Candidate, Seat, Seats};
 
+use super::job::Standing;
 use super::state::{Command, End, Start, State};
 use super::types::{Amount, How, JobId, StepName, TaskName, WorkerKey};
 use super::worker::Worker;
@@ -238,7 +239,14 @@
                 self.cancelling.remove(job);
                 self.stop_unwanted(now, state, *job);
             }
-            Command::Progress { ends, starts, .. } => self.progressed(now, state, ends, starts),
+            Command::Progress {
+                ends,
+                starts,
+                at_ms,
+            } => {
+                self.progressed(now, state, ends, starts);
+                self.note_ended_jobs(state, *at_ms);
+            }
         }
         self.maybe_plan(now, state);
         std::mem::take(&mut self.effects)
@@ -265,6 +273,28 @@
         }
     }
 
+    fn note_ended_jobs(&mut self, state: &State, at_ms: u64) {
+        for id in state.ended_at(at_ms) {
+            let Some(job) = state.jobs.get(&id) else {
+                continue;
+            };
+            let took_ms = at_ms.saturating_sub(job.accepted_ms);
+            let job_id = id.to_string();
+            match job.standing {
+                Standing::Completed => self.note(Note::JobCompleted {
+                    job: job_id,
+                    took_ms,
+                }),
+                Standing::Failed => self.note(Note::JobFailed {
+                    job: job_id,
+                    took_ms,
+                }),
+                // Noted when the caller gave it up, or not ended.
+                Standing::Cancelled | Standing::Queued | Standing::Running => {}
+            }
+        }
+    }
+
     fn number(&mut self) -> u64 {
         self.next_number += 1;
         self.next_number
--- a/src/core/plane/lead/replies.rs
+++ b/src/core/plane/lead/replies.rs
@@ -80,10 +80,10 @@
             }
             Reply::Declined(why) => {
                 self.declined(now, state, key, task, *why);
-                self.void(key, task, run, "declined by its worker");
+                self.void(state, key, task, run, "declined by its worker");
             }
             Reply::NotSent => {
-                self.void(key, task, run, "not sent");
+                self.void(state, key, task, run, "not sent");
                 self.missed(now, state, sent);
                 self.look_soon(now, key);
             }
@@ -357,7 +357,7 @@
             }
         }
         for (task, run) in voids {
-            self.void(key, task, run, "its absence from its worker's list");
+            self.void(state, key, task, run, "its absence from its worker's list");
         }
         for (task, run) in stops {
             self.stop(now, state, key, task, run, "no answer to its start");
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -186,7 +186,7 @@
         let wanted = state.is_wanted(worker, task, run);
         let until = channel.lease_end(now.at, self.bounds.hold);
         let (Some(until), true, false) = (until, wanted, place.gone) else {
-            self.void(worker, task, run, "not sent");
+            self.void(state, worker, task, run, "not sent");
             return;
         };
         if channel.look.is_none() {
@@ -280,7 +280,14 @@
     }
 
     /// Ends a run that is surely not on its worker.
-    pub(super) fn void(&mut self, key: WorkerKey, task: TaskName, run: u32, by: &'static str) {
+    pub(super) fn void(
+        &mut self,
+        state: &State,
+        key: WorkerKey,
+        task: TaskName,
+        run: u32,
+        by: &'static str,
+    ) {
         let Some(channel) = self.channels.get_mut(&key) else {
             return;
         };
@@ -299,7 +306,7 @@
         self.note(Note::Ended {
             task: task.to_string(),
             run,
-            worker: format!("#{}", key.0),
+            worker: state.worker(key).report.id.clone(),
             how: How::Void,
             by,
         });
@@ -321,7 +328,7 @@
             by,
         });
         for (task, run) in runs {
-            self.void(key, task, run, by);
+            self.void(state, key, task, run, by);
         }
     }
 
--- a/src/core/plane/state.rs
+++ b/src/core/plane/state.rs
@@ -112,6 +112,14 @@
 }
 
 impl State {
+    /// Returns the jobs that ended at `at_ms`, if nothing ended later.
+    pub fn ended_at(&self, at_ms: u64) -> impl Iterator<Item = JobId> {
+        let latest = self.ended.iter().rev();
+        latest
+            .take_while(move |(at, _)| *at == at_ms)
+            .map(|&(_, job)| job)
+    }
+
     /// Returns a worker's incarnation.
     pub fn worker(&self, key: WorkerKey) -> &Worker {
         &self.workers[key.0 as usize]
--- a/tests/plane.rs
+++ b/tests/plane.rs
@@ -5,7 +5,7 @@
 #[path = "support/plane.rs"]
 mod support;
 
-use plantaincross::core::plane::job::StepSpec;
+use plantaincross::core::plane::job::{Standing, StepSpec};
 use plantaincross::core::plane::plan::Permission;
 use plantaincross::core::plane::types::{Amount, JobId, StepName};
 use support::{Cell, Trouble, queue, tasks};
@@ -465,6 +465,26 @@
     took
 }
 
+// Whoever looks for a job's id in the log finds how it ended.
+#[test]
+fn every_end_of_a_job_has_a_line() {
+    let mut cell = cell(16, 6);
+    for worker in &mut cell.workers {
+        worker.fails_some = 50;
+    }
+    finish_all(&mut cell, 60, 500);
+    cell.run_for(30_000);
+    let standing = |job: &JobId| cell.state.jobs[job].standing;
+    let jobs: Vec<JobId> = (1..=60).map(JobId).collect();
+    for expected in [Standing::Completed, Standing::Failed] {
+        assert!(jobs.iter().any(|job| standing(job) == expected));
+    }
+    for job in &jobs {
+        let line = cell.job_lines.get(&job.to_string());
+        assert_eq!(line, Some(&standing(job)), "{job}");
+    }
+}
+
 #[test]
 fn tasks_that_stand_still_are_moved() {
     let mut cell = cell(10, 6);
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -6,8 +6,8 @@
 
 use plantaincross::core::plane::job::{Standing, StepSpec, Submission};
 use plantaincross::core::plane::lead::{
-    Action, Answer, Bounds, Call, Declined, Effect, EndRow, Lead, Lists, Now, Order, Permission,
-    Query, Question, Reply, Request, RunningRow, Work,
+    Action, Answer, Bounds, Call, Declined, Effect, EndRow, Lead, Lists, Note, Now, Order,
+    Permission, Query, Question, Reply, Request, RunningRow, Work,
 };
 use plantaincross::core::plane::plan::{self, Account, Plan, Queue, Service};
 use plantaincross::core::plane::state::{Command, State};
@@ -143,6 +143,8 @@
     /// Milliseconds of work of the permission service.
     pub asked_ms: f64,
     pub first_start: BTreeMap<StepName, u64>,
+    /// Ends of jobs that have a line.
+    pub job_lines: BTreeMap<String, Standing>,
     events: BTreeMap<(u64, u64), Event>,
     open: BTreeSet<u64>,
     sequence: u64,
@@ -193,6 +195,7 @@
             is_strict: false,
             asked_ms: 0.0,
             first_start: BTreeMap::new(),
+            job_lines: BTreeMap::new(),
             events: BTreeMap::new(),
             open: BTreeSet::new(),
             sequence: 0,
@@ -429,7 +432,7 @@
                 }
                 Effect::Order(order) => self.send(order),
                 Effect::Ask(asker, question) => self.ask(asker.0, &question),
-                Effect::Note(_) => {}
+                Effect::Note(note) => self.take_note(note),
             }
         }
     }
@@ -465,6 +468,23 @@
         }
     }
 
+    fn take_note(&mut self, note: Note) {
+        match note {
+            Note::Ended { worker, .. } => {
+                let is_known = self.state.worker_keys.contains_key(&worker);
+                assert!(is_known, "a line names the unknown worker {worker}");
+            }
+            Note::JobCompleted { job, .. } => self.note_job(&job, Standing::Completed),
+            Note::JobFailed { job, .. } => self.note_job(&job, Standing::Failed),
+            _ => {}
+        }
+    }
+
+    fn note_job(&mut self, job: &str, standing: Standing) {
+        let before = self.job_lines.insert(job.to_owned(), standing);
+        assert_eq!(before, None, "two lines for the end of {job}");
+    }
+
     fn ask(&mut self, asker: u64, question: &Question) {
         let cost = self.cost(question);
         self.questions += 1;
