--- a/src/core/plane/lead/ask.rs
+++ b/src/core/plane/lead/ask.rs
@@ -74,24 +74,18 @@
             self.permits.defer(step, now.at + ASK_AGAIN);
             return;
         }
-        let mut parts = if needs_all && is_slow {
+        let parts = if needs_all && is_slow {
             self.permits.parts(now.at)
         } else {
             1
         };
         if named.len() > most {
-            // A different sample for each step spreads the load, and workers with
-            // room come first.
-            named.sort_by_cached_key(|key| {
-                let mut hasher = DefaultHasher::new();
-                (step, key).hash(&mut hasher);
-                (seats.room_for(*key, what) == 0, hasher.finish())
-            });
-            let enough = enough(seats, what, &named, wanted * NAMED_PER_TASK);
+            sample(seats, what, step, &mut named);
+            let enough = first_with_room(seats, what, &named, wanted * NAMED_PER_TASK);
             named.truncate(enough.clamp(most, most * parts));
         }
-        // A question has a fixed cost that small parts would not be worth.
-        parts = parts.min(named.len().div_ceil(most.div_ceil(2)));
+        // Below half of a question's usual size its fixed cost is most of it.
+        let parts = parts.min(named.len().div_ceil(most.div_ceil(2)));
         for part in named.chunks(named.len().div_ceil(parts)) {
             let ids = Self::worker_ids(state, part);
             let number = self.number();
@@ -125,7 +119,6 @@
             if !fitting.iter().any(has_lapsed) {
                 return Vec::new();
             }
-            let spare = SPARE_NAMED + fitting.len() / SPARE_PART;
             let mut more: Vec<WorkerKey> = good
                 .iter()
                 .copied()
@@ -133,11 +126,10 @@
                 .collect();
             let room = |key: &WorkerKey| seats.get(*key).map_or(0, |seat| seat.free.cpu);
             more.sort_by_key(|key| std::cmp::Reverse(room(key)));
-            let spare = if needed > 1 {
-                spare.max(enough(seats, what, &more, wanted * SPARE_PER_TASK))
-            } else {
-                spare
-            };
+            let mut spare = SPARE_NAMED + fitting.len() / SPARE_PART;
+            if needed > 1 {
+                spare = spare.max(first_with_room(seats, what, &more, wanted * SPARE_PER_TASK));
+            }
             fitting.extend(more.into_iter().take(spare));
             return fitting;
         }
@@ -149,8 +141,18 @@
     }
 }
 
-// How many of `named` have room for `count` tasks.
-fn enough(seats: &Seats, what: &Candidate, named: &[WorkerKey], count: usize) -> usize {
+// Puts workers with room first, otherwise in an order that differs for each step, which
+// spreads the load.
+fn sample(seats: &Seats, what: &Candidate, step: StepName, named: &mut [WorkerKey]) {
+    named.sort_by_cached_key(|key| {
+        let mut hasher = DefaultHasher::new();
+        (step, key).hash(&mut hasher);
+        (seats.room_for(*key, what) == 0, hasher.finish())
+    });
+}
+
+// How many of `named`, from the first on, it takes for room for `count` tasks.
+fn first_with_room(seats: &Seats, what: &Candidate, named: &[WorkerKey], count: usize) -> usize {
     let mut room = 0;
     let has_enough = |key: &WorkerKey| {
         room += seats.room_for(*key, what);
--- a/src/core/plane/lead/permits.rs
+++ b/src/core/plane/lead/permits.rs
@@ -24,9 +24,10 @@
 /// Part of the instances that may have slow questions under way, so that the others
 /// are free for quick ones.
 const SLOW_SHARE: f64 = 0.6;
-/// Most slow questions of one step at once.
+/// Most slow questions of one step at once. Four name some 270 workers on the terms of the
+/// first users, most of a fleet of 350.
 const PARTS_MAX: usize = 4;
-/// Idle instances for each of them.
+/// Idle instances for each of them, so that two other steps find one.
 const IDLE_PER_PART: usize = 3;
 /// Longest time that a quick question may wait for its turn at the instance that
 /// asks it.
