Keep room for urgent work where large tasks do not fit

Gangs that wait are mostly those with tasks of 12 to 15 cores; they find room on one or two of their 13 permitted workers, become late after some five seconds and then start when the traffic is over, 20 to 60 s later.

Ruled out as the main cause: permits (renewed in 0.5 s when there is room), the leader's processor (the same without processor time), work of lower queues on the workers.

Change: the room is kept on the workers with least free first, all of it where less than a common large task is free, at most 15 % of a worker elsewhere as before.

Test: room_for_urgent_work_leaves_places_for_large_tasks; the gang did not start before.

--- a/src/core/plane/lead/place.rs
+++ b/src/core/plane/lead/place.rs
@@ -17,6 +17,16 @@
 /// Cost of a rack without the step's data, for each multiple that it is slower.
 const FAR_COST: f64 = 24_000.0;
 
+/// Part of a worker that the task of a common gang takes: nine cores of 32. All of what
+/// is less may be kept for urgent work.
+const LARGE_SHARE: f64 = 0.28;
+/// Largest part of a worker with more than that which is kept for urgent work. More would
+/// leave no place for the third of three such tasks.
+const URGENT_SHARE_MAX: f64 = 0.15;
+/// Least free processors that are a place for urgent work, in thousandths of a core: the
+/// size of a small task.
+const URGENT_PLACE: i64 = 2_000;
+
 /// Room for more tasks on one worker is not told apart.
 const COUNTED_MAX: u16 = 64;
 
@@ -220,6 +230,39 @@
         found
     }
 
+    /// Keeps processors for urgent work, in thousandths of a core, on the workers that have
+    /// least free first.
+    ///
+    /// Load: urgent tasks of a few cores beside gangs whose tasks take a third or almost
+    /// half of a worker. The urgent ones fit in what the gangs leave over. The same part of
+    /// each worker instead leaves no place for the second of two such tasks on any.
+    pub fn keep_for_urgent(&mut self, cpu: i64) {
+        let mut order: Vec<(i64, WorkerKey)> = self
+            .iter()
+            .map(|(key, seat)| (seat.free.cpu, key))
+            .filter(|(free, _)| *free >= URGENT_PLACE)
+            .collect();
+        order.sort_unstable();
+        let mut left = cpu;
+        for (free, key) in order {
+            if left <= 0 {
+                return;
+            }
+            let Some(seat) = self.get_mut(key) else {
+                continue;
+            };
+            let part = |share: f64| (seat.capacity.cpu as f64 * share) as i64;
+            let most = if free < part(LARGE_SHARE) {
+                free
+            } else {
+                part(URGENT_SHARE_MAX)
+            };
+            let kept = left.min(most);
+            seat.free_later.cpu -= kept;
+            left -= kept;
+        }
+    }
+
     /// Returns the processors of all workers, in thousandths of a core.
     pub fn total_cpu(&self) -> i64 {
         self.iter().map(|(_, seat)| seat.capacity.cpu).sum()
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -17,9 +17,6 @@
 const KEEP_SHARE: f64 = 0.3;
 /// Room for urgent work on top of its recent peak.
 const URGENT_MARGIN: f64 = 1.2;
-/// Largest part of a worker that is kept for urgent work. More would leave no place for
-/// the third of three tasks of nine cores on a worker of 32, the commonest gang.
-const URGENT_SHARE_MAX: f64 = 0.15;
 /// Part of the peak of urgent work that is forgotten in a round: half in some ten
 /// seconds at 50 rounds a second.
 const URGENT_DECAY: f64 = 0.0014;
@@ -150,7 +147,6 @@
         let urgent: i64 = self.channels.values().map(|c| c.urgent_cpu).sum();
         self.urgent_use = (self.urgent_use * (1.0 - URGENT_DECAY)).max(urgent as f64);
         let mut seats = Seats::default();
-        let each = self.urgent_use * URGENT_MARGIN / self.channels.len().max(1) as f64;
         for (&key, channel) in &self.channels {
             let worker = state.worker(key);
             if worker.gone || worker.report.draining || !channel.is_usable(now.at) {
@@ -158,14 +154,10 @@
             }
             let capacity = worker.report.capacity;
             let free = capacity - worker.used - channel.reserved;
-            let most = capacity.cpu as f64 * URGENT_SHARE_MAX;
-            let kept = each.min(most) as i64 - channel.urgent_cpu;
-            let mut free_later = free;
-            free_later.cpu -= kept.max(0);
             let seat = Seat {
                 capacity,
                 free,
-                free_later,
+                free_later: free,
                 rack: channel.rack,
                 slowness: channel.slowness,
                 failures: channel.failures(now.at),
@@ -174,6 +166,8 @@
             };
             seats.add(key, seat);
         }
+        let headroom = self.urgent_use * URGENT_MARGIN - urgent as f64;
+        seats.keep_for_urgent(headroom as i64);
         seats
     }
 
--- a/tests/plane.rs
+++ b/tests/plane.rs
@@ -410,6 +410,48 @@
     assert!(in_time * 10 >= GANGS * 9, "waits of gangs: {waits:?} ms");
 }
 
+// Load: gangs whose tasks take almost half of a worker, on a fleet of which a half is full
+// but for a few cores a worker, after urgent work that may come again. The urgent work has
+// its room in what is left over, so that the gang has both places of each empty worker.
+#[test]
+fn room_for_urgent_work_leaves_places_for_large_tasks() {
+    const WORKERS: u16 = 12;
+    let mut cell = cell(18, usize::from(WORKERS));
+    let full = StepSpec {
+        most_per_worker: 1,
+        ..tasks(WORKERS / 2, 24, 60_000)
+    };
+    cell.submit("batch", 1, vec![full], 60_000);
+    cell.run_for(200);
+    for id in 0..10 {
+        cell.submit("urgent", 100 + id, vec![tasks(1, 4, 700)], 700);
+    }
+    cell.run_for(1_500);
+    let large = StepSpec {
+        gang: true,
+        ..tasks(WORKERS, 15, 1_000)
+    };
+    cell.submit("batch", 2, vec![large], 1_000);
+    cell.run_for(2_000);
+    assert!(
+        cell.completed.contains_key(&JobId(2)),
+        "the gang has not run"
+    );
+    // The room is there when the work comes again, within its goal.
+    let sent = cell.now;
+    for id in 200..210 {
+        cell.submit("urgent", id, vec![tasks(1, 4, 700)], 700);
+    }
+    cell.run_for(1_500);
+    for id in 200..210 {
+        let took = cell.completed.get(&JobId(id)).map(|at| at - sent);
+        assert!(
+            took.is_some_and(|took| took <= 700 * 3 / 2 + 250),
+            "urgent job {id} took {took:?} ms"
+        );
+    }
+}
+
 // Load: many gangs wait for permits while no instance can ask. What needs none must not
 // wait for the leader to work out their questions again and again.
 #[test]
