Let one of two candidates give way, and write a line for each decision of an election

No line told why: elections had none.

Change: a replica that asks who would win and is asked by one with a longer log, or the same log and a higher number, goes back to following; the other one refuses it. Votes of the second round are as before, so that safety does not depend on it.

Lines: `stood` and `vote_asked`, with the reason of a refusal.

--- a/src/cell/control/log.rs
+++ b/src/cell/control/log.rs
@@ -5,7 +5,7 @@
 use crate::cell::journal::Line;
 use crate::cell::metrics::Metrics;
 use crate::cell::storage::{Done, Job};
-use crate::core::consensus::Ready;
+use crate::core::consensus::{Ballot, Ready};
 use crate::core::plane::codec;
 use crate::core::plane::state::{Command, State};
 use crate::wire::{Body, Entry, Raft};
@@ -26,6 +26,7 @@
                 continue;
             }
             let mut ready = self.replica.take_ready();
+            self.note_ballots(std::mem::take(&mut ready.ballots));
             if ready.is_idle() {
                 break;
             }
@@ -46,6 +47,40 @@
         self.compact();
     }
 
+    fn note_ballots(&self, ballots: Vec<Ballot>) {
+        for ballot in ballots {
+            let line = match ballot {
+                Ballot::Stood {
+                    pre,
+                    term,
+                    last_index,
+                } => Line::Stood {
+                    pre,
+                    term,
+                    last_index,
+                },
+                Ballot::Asked {
+                    candidate,
+                    pre,
+                    term,
+                    refused,
+                } => Line::VoteAsked {
+                    candidate: self.name_of(candidate),
+                    pre,
+                    term,
+                    refused,
+                },
+            };
+            self.journal.write(&line);
+        }
+    }
+
+    // The name of a replica's instance, or its number if it has not been seen.
+    fn name_of(&self, replica: u64) -> String {
+        let peer = self.peers.values().find(|p| p.replica == replica);
+        peer.map_or_else(|| replica.to_string(), |p| p.name.clone())
+    }
+
     pub(super) fn store(&mut self, ready: Ready) {
         let log = self.replica.log();
         let last = (log.last_index(), log.last_term());
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -12,6 +12,7 @@
 use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
 
 use crate::clock;
+use crate::core::consensus::Doubt;
 use crate::core::plane::lead::Note;
 
 /// Lines of one kind that are written in a second. Eight kinds at this rate are some
@@ -76,6 +77,26 @@
         /// Term.
         term: u64,
     },
+    /// This instance asks for votes.
+    Stood {
+        /// Whether it only asks if it would win.
+        pre: bool,
+        /// Term that it wants to lead.
+        term: u64,
+        /// Last entry of its log.
+        last_index: u64,
+    },
+    /// This instance was asked for its vote.
+    VoteAsked {
+        /// Who asked.
+        candidate: String,
+        /// Whether it only asked if it would win.
+        pre: bool,
+        /// Term that it wants to lead.
+        term: u64,
+        /// Why the vote was refused; absent if it was given.
+        refused: Option<Doubt>,
+    },
     /// Another instance leads, as far as this one knows.
     LeaderSeen {
         /// Its name.
--- a/src/core/consensus/election.rs
+++ b/src/core/consensus/election.rs
@@ -6,16 +6,26 @@
 use bytes::Bytes;
 use rand::RngExt;
 
+use super::ballot::{Ballot, Doubt};
 use super::progress::Progress;
 use super::replica::{ELECTION_MAX, ELECTION_MIN, Lead, Replica, Role};
 use crate::core::time::{Moment, with_clock_margin};
 use crate::wire::{Entry, RaftBody, Vote, VoteReply, Yield};
 
+/// Shortest time after which a candidate without a majority stands again: a round of
+/// votes takes this long if each sync of a disk takes 120 ms, thirty times the usual.
+const STAND_AGAIN_MIN: Duration = Duration::from_millis(250);
+/// Longest such time. Candidates that split the votes draw different ones.
+const STAND_AGAIN_MAX: Duration = Duration::from_millis(500);
+
 impl Replica {
     pub(super) fn reset_election(&mut self, now: Moment) {
-        let span = (ELECTION_MAX - ELECTION_MIN).as_micros() as u64;
-        let extra = Duration::from_micros(self.rng.random_range(0..=span));
-        self.election_at = now + ELECTION_MIN + extra;
+        self.election_at = now + self.draw(ELECTION_MIN, ELECTION_MAX);
+    }
+
+    fn draw(&mut self, least: Duration, most: Duration) -> Duration {
+        let span = (most - least).as_micros() as u64;
+        least + Duration::from_micros(self.rng.random_range(0..=span))
     }
 
     pub(super) fn become_follower(&mut self, now: Moment, term: u64) {
@@ -33,11 +43,12 @@
 
     fn stand(&mut self, now: Moment, pre: bool, yielded: bool) {
         self.leader = None;
-        self.reset_election(now);
         let own = BTreeSet::from([self.id]);
         if pre {
+            self.reset_election(now);
             self.role = Role::PreCandidate(own);
         } else {
+            self.election_at = now + self.draw(STAND_AGAIN_MIN, STAND_AGAIN_MAX);
             self.set_hard(self.hard.term + 1, self.id);
             self.role = Role::Candidate(own);
         }
@@ -48,6 +59,11 @@
             for_term: self.hard.term + u64::from(pre),
             yielded,
         };
+        self.ready.ballots.push(Ballot::Stood {
+            pre,
+            term: vote.for_term,
+            last_index: vote.last_index,
+        });
         for id in self.other_voters() {
             self.send(id, RaftBody::Vote(vote));
         }
@@ -100,6 +116,7 @@
         // off cannot disturb the group.
         let hears_leader = self.is_leader() || now < self.contact + with_clock_margin(ELECTION_MIN);
         if hears_leader && (self.is_leader() || !vote.yielded) {
+            self.note_vote(from, vote, Some(Doubt::HearsLeader));
             return;
         }
         if !vote.pre && term > self.hard.term {
@@ -107,12 +124,28 @@
         }
         let current = (self.log.last_term(), self.log.last_index());
         let up_to_date = (vote.last_term, vote.last_index) >= current;
-        let granted = if vote.pre {
-            up_to_date && vote.for_term > self.hard.term
+        let is_free = if vote.pre {
+            vote.for_term > self.hard.term
         } else {
-            let free = self.hard.vote == 0 || self.hard.vote == from;
-            up_to_date && term == self.hard.term && free
+            term == self.hard.term && (self.hard.vote == 0 || self.hard.vote == from)
         };
+        // Of two that ask at once the one with the higher number goes on. Both would
+        // split the votes of the term.
+        let own = (self.log.last_term(), self.log.last_index(), self.id);
+        let is_rival = vote.pre && matches!(self.role, Role::PreCandidate(_));
+        let gives_way = (vote.last_term, vote.last_index, from) > own;
+        let doubt = match (up_to_date, is_free) {
+            (false, _) => Some(Doubt::Behind),
+            (true, false) => Some(Doubt::Voted),
+            (true, true) if is_rival && !gives_way => Some(Doubt::StandsItself),
+            (true, true) => None,
+        };
+        if is_rival && doubt.is_none() {
+            self.role = Role::Follower;
+            self.reset_election(now);
+        }
+        self.note_vote(from, vote, doubt);
+        let granted = doubt.is_none();
         if granted && !vote.pre {
             self.set_hard(self.hard.term, from);
             self.reset_election(now);
@@ -125,6 +158,15 @@
         self.send(from, RaftBody::VoteReply(reply));
     }
 
+    fn note_vote(&mut self, candidate: u64, vote: Vote, refused: Option<Doubt>) {
+        self.ready.ballots.push(Ballot::Asked {
+            candidate,
+            pre: vote.pre,
+            term: vote.for_term,
+            refused,
+        });
+    }
+
     pub(super) fn step_vote_reply(&mut self, now: Moment, from: u64, term: u64, reply: VoteReply) {
         if !reply.granted || !self.is_voting(from) {
             return;
--- a/src/core/consensus/mod.rs
+++ b/src/core/consensus/mod.rs
@@ -3,6 +3,7 @@
 //! Source: Ongaro, Consensus: Bridging Theory and Practice (Raft), with
 //! pre-vote, check-quorum, leader lease and member changes one at a time.
 
+mod ballot;
 mod election;
 mod follow;
 mod log;
@@ -11,6 +12,7 @@
 mod replicate;
 mod transfer;
 
+pub use ballot::{Ballot, Doubt};
 pub use log::{Log, Snapshot};
 pub use progress::Progress;
 pub use replica::{
--- a/src/core/consensus/replica.rs
+++ b/src/core/consensus/replica.rs
@@ -8,6 +8,7 @@
 use rand_chacha::rand_core::SeedableRng;
 use snafu::Snafu;
 
+use super::ballot::Ballot;
 use super::log::{Log, Snapshot};
 use super::progress::Progress;
 use super::transfer::Incoming;
@@ -56,6 +57,8 @@
     pub messages: Vec<Raft>,
     /// Entries to apply.
     pub committed: Vec<Entry>,
+    /// Decisions of elections, to be logged.
+    pub ballots: Vec<Ballot>,
 }
 
 /// The replica does not lead, so it cannot take proposals.
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -3,9 +3,9 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
-use plantaincross::core::consensus::{Replica, Stored};
+use plantaincross::core::consensus::{Ballot, Doubt, ELECTION_MAX, Replica, Stored};
 use plantaincross::core::time::Moment;
-use plantaincross::wire::{Raft, RaftBody, Voter};
+use plantaincross::wire::{Raft, RaftBody, Vote, Voter};
 
 const START: u64 = 10_000_000;
 const ENTRY_BYTES: usize = 1_000;
@@ -17,10 +17,18 @@
     network: VecDeque<(u64, Raft)>,
     cut: Option<u64>,
     entry_bytes_to_cut: usize,
+    /// Milliseconds between looks at the time, for what is not a message.
+    tick_every: u64,
+    /// What each replica decided in elections.
+    ballots: Vec<Vec<Ballot>>,
 }
 
 impl Group {
     fn new() -> Self {
+        Self::seeded(0)
+    }
+
+    fn seeded(seed: u64) -> Self {
         let replicas = (1..=3)
             .map(|id| {
                 Replica::new(
@@ -29,7 +37,7 @@
                     true,
                     Stored::default(),
                     Moment(START),
-                    id,
+                    seed * 3 + id,
                 )
             })
             .collect();
@@ -39,6 +47,8 @@
             network: VecDeque::new(),
             cut: None,
             entry_bytes_to_cut: 0,
+            tick_every: 1,
+            ballots: vec![Vec::new(); 3],
         };
         let voters = (1..=3)
             .map(|id| Voter {
@@ -65,10 +75,14 @@
             let to = raft.to as usize - 1;
             self.replicas[to].step(now, raft);
         }
-        for replica in &mut self.replicas {
-            replica.tick(now);
+        let is_tick = (self.now / 1_000).is_multiple_of(self.tick_every);
+        for (at, replica) in self.replicas.iter_mut().enumerate() {
+            if is_tick {
+                replica.tick(now);
+            }
             replica.flush(now);
             let ready = replica.take_ready();
+            self.ballots[at].extend(&ready.ballots);
             replica.persisted(now);
             for raft in ready.messages {
                 let is_cut = self.cut == Some(raft.to) || self.cut == Some(raft.from);
@@ -191,3 +205,79 @@
     }
     assert_eq!(group.replicas[0].term(), term, "no further election");
 }
+
+// Two candidates that stand at once split the votes. They must not wait for a whole
+// election timeout before they stand again.
+#[test]
+fn a_split_vote_costs_little() {
+    // A timeout, half of one, and two rounds of votes of up to 50 ms.
+    const LONGEST_MS: u64 = ELECTION_MAX.as_millis() as u64 + 600;
+    for seed in 0..300 {
+        let mut group = Group::seeded(seed);
+        group.run(100, 2);
+        group.tick_every = 50;
+        group.cut = Some(1);
+        let has_leader = |group: &Group| {
+            group.replicas[1..]
+                .iter()
+                .any(|r| r.is_leased(Moment(group.now)))
+        };
+        let took = (0..10_000).find(|_| {
+            group.step();
+            has_leader(&group)
+        });
+        assert!(
+            took.is_some_and(|took| took <= LONGEST_MS),
+            "seed {seed}: the next leader came after {took:?} ms: {:?}",
+            group.ballots
+        );
+    }
+}
+
+#[test]
+fn a_candidate_and_a_voter_tell_why() {
+    let mut group = Group::new();
+    group.run(100, 2);
+    group.ballots = vec![Vec::new(); 3];
+    group.cut = Some(3);
+    group.run(3_000, 2);
+    group.cut = None;
+    group.run(50, 2);
+    let stood = |b: &Ballot| matches!(b, Ballot::Stood { pre: true, .. });
+    assert!(
+        group.ballots[2].iter().any(stood),
+        "the one that was cut off"
+    );
+    let refused = |b: &Ballot| {
+        matches!(
+            b,
+            Ballot::Asked {
+                candidate: 3,
+                refused: Some(Doubt::HearsLeader),
+                ..
+            }
+        )
+    };
+    let candidacy = RaftBody::Vote(Vote {
+        pre: true,
+        for_term: group.replicas[1].term() + 1,
+        ..Vote::default()
+    });
+    let now = Moment(group.now);
+    let term = group.replicas[1].term();
+    group.replicas[1].step(
+        now,
+        Raft {
+            term,
+            from: 3,
+            to: 2,
+            body: Some(candidacy),
+        },
+    );
+    group.step();
+    assert!(
+        group.ballots[1].iter().any(refused),
+        "{:?}",
+        group.ballots[1]
+    );
+}
