Place lasting work first, and ask for workers that can take a further task of it

Cause: a step that allows a few tasks per worker counted workers which already have one as room when it decided which permits to ask for. The question then named useless workers and no further one was ever named, so the last tasks of a wide step never started. Besides, lasting steps were ranked by a chain of run times and came after everything once that was over, behind the limit on a round's work.

Ruled out: permits that lapse (asked again in the same rounds), workers once refused that come back as another kind (another incarnation has another key).

--- a/src/core/plane/lead/ask.rs
+++ b/src/core/plane/lead/ask.rs
@@ -7,7 +7,6 @@
 use super::io::Effect;
 use super::permits::{SLOW_MIN, expected, named_count};
 use super::place::{Candidate, Seats};
-use super::plan::Waiting;
 use super::{Lead, Now};
 use crate::core::plane::plan::Permission;
 use crate::core::plane::state::State;
@@ -43,21 +42,20 @@
         &mut self,
         now: Now,
         state: &State,
-        waiting: &Waiting,
+        step: StepName,
         what: &Candidate,
         terms: Permission,
         eligible: &[WorkerKey],
         seats: &Seats,
-        placed: usize,
+        present: &HashMap<WorkerKey, u16>,
+        wanted: usize,
     ) {
-        let step = waiting.step;
         let needs_all = needs_all(state, step);
         let most = named_count(terms, needs_all);
         let is_slow = expected(terms, most) >= SLOW_MIN;
         if self.permits.is_waiting(now.at, step) || !self.permits.can_ask(now.at, is_slow) {
             return;
         }
-        let wanted = waiting.count - placed;
         let mut named: Vec<WorkerKey> = match self.permits.known(step) {
             Some(known) if !known.good.is_empty() || !known.bad.is_empty() => {
                 let (good, others): (Vec<WorkerKey>, Vec<WorkerKey>) = eligible
@@ -65,7 +63,8 @@
                     .copied()
                     .filter(|key| !known.bad.contains(key))
                     .partition(|key| known.good.contains_key(key));
-                self.worth_asking(now, state, step, what, wanted, seats, &good, &others)
+                let find = |allowed: &[WorkerKey]| seats.find(what, wanted, allowed, present);
+                self.worth_asking(now, state, step, what, wanted, seats, &find, &good, &others)
             }
             _ => eligible.to_vec(),
         };
@@ -106,12 +105,12 @@
         what: &Candidate,
         wanted: usize,
         seats: &Seats,
+        find: &dyn Fn(&[WorkerKey]) -> Vec<WorkerKey>,
         good: &[WorkerKey],
         others: &[WorkerKey],
     ) -> Vec<WorkerKey> {
-        let none = HashMap::new();
         let needed = if needs_all(state, step) { wanted } else { 1 };
-        let mut fitting = seats.find(what, wanted, good, &none);
+        let mut fitting = find(good);
         if fitting.len() >= needed {
             fitting.sort_unstable();
             fitting.dedup();
@@ -134,7 +133,7 @@
             return fitting;
         }
         let all: Vec<WorkerKey> = good.iter().chain(others).copied().collect();
-        if seats.find(what, wanted, &all, &none).len() < needed {
+        if find(&all).len() < needed {
             return Vec::new();
         }
         others.to_vec()
--- a/src/core/plane/lead/order.rs
+++ b/src/core/plane/lead/order.rs
@@ -13,6 +13,9 @@
 /// Part of the estimated remaining time that counts when a job is judged late.
 /// Estimates are up to twice the real time, and a job must not be set back for one.
 const REMAINING_TRUST: f64 = 0.6;
+/// Time by which lasting work counts as older than it is, in milliseconds: a day, more
+/// than any goal.
+const LASTING_LEAD_MS: i64 = 24 * 3_600 * 1_000;
 
 /// Sorts first what is to be placed first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
@@ -27,6 +30,19 @@
     pub latest_start_ms: i64,
 }
 
+impl Rank {
+    /// Ranks a step whose tasks last: before all others, the oldest first. It is owed its
+    /// places for as long as its job stays, however much else waits.
+    pub const fn lasting(since_ms: u64) -> Self {
+        Self {
+            lateness: 0,
+            priority: 0,
+            over_share: false,
+            latest_start_ms: since_ms as i64 - LASTING_LEAD_MS,
+        }
+    }
+}
+
 /// What a rank is made of.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Age {
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -111,7 +111,11 @@
                     if count == 0 || step.breaking || !job.is_unblocked(k, at) {
                         continue;
                     }
-                    let rank = self.rank(now, job, queue, k, due_ms, over_share);
+                    let rank = if job.submission.steps[at].lasting {
+                        Rank::lasting(due_ms.unwrap_or(job.accepted_ms))
+                    } else {
+                        self.rank(now, job, queue, k, due_ms, over_share)
+                    };
                     waiting.push(Waiting {
                         rank,
                         step: name,
@@ -201,7 +205,10 @@
         let placed = if spec.gang { 0 } else { found.len() };
         if let Some(terms) = queue.permission {
             let seats = &round.seats;
-            self.ask_more(now, state, waiting, &what, terms, &eligible, seats, placed);
+            let wanted = waiting.count - placed;
+            self.ask_more(
+                now, state, name, &what, terms, &eligible, seats, &present, wanted,
+            );
         }
         self.keep_room(waiting, spec, &what, &eligible, round);
     }
@@ -351,7 +358,7 @@
 fn candidate(spec: &StepSpec, queue: &Queue, racks: &HashMap<String, u32>, far: f64) -> Candidate {
     Candidate {
         room: spec.room(),
-        urgent: queue.priority == 0,
+        urgent: queue.priority == 0 || spec.lasting,
         data_rack: spec.data_rack.as_ref().and_then(|r| racks.get(r).copied()),
         far,
         most: (spec.most_per_worker > 0).then_some(spec.most_per_worker),
--- /dev/null
+++ b/tests/lasting.rs
@@ -0,0 +1,133 @@
+//! Work that lasts: its tasks are at work again soon after each end, whatever else
+//! waits.
+
+#[path = "support/plane.rs"]
+mod support;
+
+use plantaincross::core::plane::job::StepSpec;
+use plantaincross::core::plane::plan::Permission;
+use plantaincross::core::plane::types::Amount;
+use support::{Cell, queue, tasks};
+
+const SLOW: Permission = Permission {
+    decide_ms: 410.0,
+    each_ms: 5.9,
+    valid_ms: 2_500,
+};
+const QUICK: Permission = Permission {
+    decide_ms: 9.3,
+    each_ms: 0.13,
+    valid_ms: 2_500,
+};
+/// Longest time that a lasting task may be away while there is room twice over: what the
+/// users' platform says.
+const GAP_MAX_MS: u64 = 3_000;
+
+// Permission for one worker of three.
+fn cell(seed: u64, workers: usize, askers: u64) -> Cell {
+    let queues = vec![
+        queue("urgent", 0, Some(QUICK)),
+        queue("gang", 1, Some(SLOW)),
+        queue("live", 2, Some(SLOW)),
+        queue("batch", 3, None),
+    ];
+    let mut cell = Cell::new(seed, workers, queues, Amount::default());
+    cell.is_strict = true;
+    cell.askers = askers;
+    cell.take_over();
+    cell.run_for(500);
+    cell
+}
+
+fn lasting(count: u16, cores: i64) -> StepSpec {
+    StepSpec {
+        lasting: true,
+        may_miss: 1,
+        most_per_worker: 1,
+        ..tasks(count, cores, 400)
+    }
+}
+
+// Milliseconds that tasks were away, those that still are included.
+fn gaps(cell: &Cell) -> Vec<u64> {
+    let away = cell.away.values().map(|since| cell.now - since);
+    let mut gaps: Vec<u64> = cell.gaps.iter().map(|(_, gap)| *gap).chain(away).collect();
+    gaps.sort_unstable();
+    gaps
+}
+
+fn assert_short(cell: &Cell) {
+    let gaps = gaps(cell);
+    let longest = &gaps[gaps.len().saturating_sub(10)..];
+    assert!(
+        gaps.last().is_none_or(|gap| *gap <= GAP_MAX_MS),
+        "the longest of {} gaps: {longest:?} ms; {} tasks are away",
+        gaps.len(),
+        cell.away.len()
+    );
+}
+
+// The first question grants nine workers, and each may have one task of the step. Those
+// that have one already are no place for the others.
+#[test]
+fn a_step_with_a_limit_per_worker_finds_further_workers() {
+    let mut cell = cell(1, 60, 13);
+    let limited = StepSpec {
+        most_per_worker: 1,
+        ..tasks(15, 2, 10_000)
+    };
+    cell.submit("live", 1, vec![lasting(15, 2)], 2_000);
+    cell.submit("gang", 2, vec![limited], 10_000);
+    cell.run_for(12_000);
+    assert_short(&cell);
+    assert_eq!(cell.starts_of(2), 15);
+}
+
+// Load: 40 lasting jobs of 20 tasks, a tenth of which fail every 6 s, beside gangs that
+// wait for room and urgent bursts, on 350 workers.
+#[test]
+fn lasting_tasks_come_back_beside_gangs_and_bursts() {
+    let mut cell = cell(2, 350, 33);
+    let mut next = 1_000;
+    for second in 0..30 {
+        if second < 20 {
+            for at in 0..2 {
+                cell.submit("live", second * 2 + at + 1, vec![lasting(20, 1)], 6_000);
+            }
+        }
+        let burst = if second % 10 > 6 { 3 } else { 1 };
+        for _ in 0..4 * burst {
+            let gang = StepSpec {
+                gang: true,
+                ..tasks(14, 9, 6_000)
+            };
+            cell.submit("gang", next, vec![gang], 6_000);
+            next += 1;
+        }
+        for _ in 0..36 * burst {
+            cell.submit("urgent", next, vec![tasks(10, 4, 800)], 800);
+            next += 1;
+            cell.run_for(1_000 / (36 * burst));
+        }
+    }
+    assert_short(&cell);
+}
+
+// Workers crash and come back under their ids, and a new leader takes over between.
+#[test]
+fn lasting_tasks_come_back_after_a_take_over() {
+    let mut cell = cell(3, 60, 13);
+    for id in 1..=6 {
+        cell.submit("live", id, vec![lasting(10, 2)], 4_000);
+    }
+    cell.run_for(6_000);
+    for at in 0..8 {
+        cell.restart(at * 3);
+        cell.run_for(300);
+        if at == 3 {
+            cell.take_over();
+        }
+        cell.run_for(2_000);
+    }
+    assert_short(&cell);
+}
