Do not take the silence of a worker for a standstill of its runs

Cause: a run counts as stuck when its progress has not changed for 2.5 s. Progress comes with the worker's lists, so that a worker that was cut off for that long looked as if all its runs stood still. They were ordered to stop, the orders waited on the connections, and the worker gave up sound work when the cut was over.

Ruled out: the lease (it outlives the cut by 2 s and more), the first list after the cut (it shows progress and is taken before anything else).

Now time counts only until the next list is due. Tests: tests/silence.rs; two of six failed before, and a worker without runs was cut in the four others (mended).

--- a/src/core/plane/lead/channel.rs
+++ b/src/core/plane/lead/channel.rs
@@ -60,6 +60,37 @@
     pub filling: bool,
 }
 
+/// How far a run is, by its worker's lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// Percent.
+    pub percent: u32,
+    /// When a list first showed it.
+    pub since: Moment,
+    /// When a list last showed it. While no list comes, nothing is known.
+    pub shown_at: Moment,
+}
+
+impl Progress {
+    /// Takes a list that shows `percent`.
+    pub fn update(known: Option<Self>, now: Moment, percent: u32) -> Self {
+        let since = known
+            .filter(|known| known.percent == percent)
+            .map_or(now, |known| known.since);
+        Self {
+            percent,
+            since,
+            shown_at: now,
+        }
+    }
+
+    /// Returns for how long the run has made no progress, as far as lists that come each
+    /// `interval` tell. The time for which they are overdue does not count.
+    pub fn standstill(&self, now: Moment, interval: Duration) -> Duration {
+        now.min(self.shown_at + interval).since(self.since)
+    }
+}
+
 /// What the leader knows of a run that may be on the worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Live {
@@ -80,8 +111,8 @@
     pub stop_at: Option<Moment>,
     /// When the worker confirmed a stop.
     pub stopped_at: Option<Moment>,
-    /// Latest progress in percent, and since when it has been that.
-    pub progress: Option<(u32, Moment)>,
+    /// Latest progress that the worker told.
+    pub progress: Option<Progress>,
     /// Whether an end has been proposed.
     pub ending: bool,
     /// What it is to placing.
--- a/src/core/plane/lead/replies.rs
+++ b/src/core/plane/lead/replies.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::channel::Live;
+use super::channel::{Live, Progress};
 use super::io::{Declined, EndRow, Lists, Note, Reply, RunningRow, Sent};
 use super::workers::{ANSWER_TIMEOUT, LOOK_RETRY, TELL_SEEN_AFTER};
 use super::{Lead, Now};
@@ -234,10 +234,7 @@
         live.listed = true;
         live.in_doubt = false;
         live.confirmed_at.get_or_insert(now.at);
-        match live.progress {
-            Some((percent, _)) if percent == row.percent => {}
-            _ => live.progress = Some((row.percent, now.at)),
-        }
+        live.progress = Some(Progress::update(live.progress, now.at, row.percent));
         true
     }
 
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -448,24 +448,25 @@
     }
 }
 
+// A worker that is silent tells nothing of its runs, so that its silence does not count.
 fn is_stuck(now: Now, state: &State, task: TaskName, live: &Live) -> bool {
-    let Some((percent, since)) = live.progress else {
+    let Some(progress) = live.progress else {
         return false;
     };
     let job = state.jobs.get(&task.step.job);
     let Some((spec, _, _)) = job.and_then(|j| j.task(task)) else {
         return false;
     };
-    if spec.lasting || spec.filling || percent >= 100 {
+    if spec.lasting || spec.filling || progress.percent >= 100 {
         return false;
     }
     let share = Duration::from_millis((spec.estimate_ms as f64 * STUCK_SHARE) as u64);
-    let least = if spec.gang && percent == 0 {
+    let least = if spec.gang && progress.percent == 0 {
         STUCK_GANG
     } else {
         STUCK_MIN
     };
-    now.at.since(since) > least.max(share)
+    progress.standstill(now.at, LOOK_WAIT) > least.max(share)
 }
 
 /// Returns what a task's run is to placing.
--- /dev/null
+++ b/tests/silence.rs
@@ -0,0 +1,82 @@
+//! Workers that are silent or slow to report for a while keep their runs.
+
+#[path = "support/plane.rs"]
+mod support;
+
+use plantaincross::core::plane::job::StepSpec;
+use plantaincross::core::plane::types::{Amount, JobId};
+use support::{Cell, queue, tasks};
+
+/// Workers of the fleet.
+const WORKERS: usize = 4;
+/// Time that a run takes.
+const RUN_MS: u64 = 9_000;
+
+fn busy(seed: u64, step: StepSpec) -> Cell {
+    let queues = vec![queue("batch", 2, None)];
+    let mut cell = Cell::new(seed, WORKERS, queues, Amount::default());
+    cell.run_for(100);
+    cell.submit("batch", 1, vec![step], RUN_MS);
+    cell.run_for(1_000);
+    cell
+}
+
+fn starts(cell: &Cell) -> u64 {
+    cell.workers.iter().map(|w| w.starts).sum()
+}
+
+// Lets the job end, and checks that each task ran once.
+fn assert_ran_once(mut cell: Cell, count: u64) {
+    cell.run_for(RUN_MS + 3_000);
+    assert_eq!(cell.stops, 0, "runs were stopped");
+    assert_eq!(starts(&cell), count, "starts of {count} tasks");
+    assert!(cell.completed.contains_key(&JobId(1)));
+}
+
+macro_rules! silences {
+    ($($name:ident: $step:expr, $silence:expr;)*) => {
+        $(#[test] fn $name() {
+            let step: StepSpec = $step;
+            let count = u64::from(step.count);
+            let mut cell = busy(1, step);
+            let silence: fn(&mut Cell) = $silence;
+            silence(&mut cell);
+            assert_ran_once(cell, count);
+        })*
+    };
+}
+
+fn gang() -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..tasks(8, 9, RUN_MS)
+    }
+}
+
+// A lease of 6 s outlives each of them; two to three of a second's looks are missing.
+silences! {
+    cut_off_for_four_seconds: tasks(8, 4, RUN_MS), |cell| {
+        cell.workers[0].cut_until = cell.now + 4_000;
+    };
+    answers_lost_for_four_seconds: tasks(8, 4, RUN_MS), |cell| {
+        cell.workers[0].mute_until = cell.now + 4_000;
+    };
+    all_cut_off_at_once: tasks(8, 4, RUN_MS), |cell| {
+        for at in 0..WORKERS {
+            cell.workers[at].cut_until = cell.now + 4_000;
+        }
+    };
+    a_gang_cut_off: gang(), |cell| {
+        cell.workers[0].cut_until = cell.now + 4_000;
+    };
+    cut_off_twice: tasks(8, 4, RUN_MS), |cell| {
+        cell.workers[0].cut_until = cell.now + 2_900;
+        cell.run_for(3_300);
+        cell.workers[0].cut_until = cell.now + 2_900;
+    };
+    cut_off_around_a_take_over: tasks(8, 4, RUN_MS), |cell| {
+        cell.workers[0].cut_until = cell.now + 4_000;
+        cell.run_for(1_500);
+        cell.take_over();
+    };
+}
