Refuse figures that cannot be, before they reach a sum

Cause: a job whose tasks need 2^63 of something, whose steps are estimated at 2^64 ms or whose occurrences are that far apart was taken, and the leader's sums overflowed: a panic that ends the control loop where overflow is checked, and otherwise a cap that holds nothing back, or an occurrence that is due at once.

Ruled out: reports of workers with such figures reach no sum before a worker is adopted, so that the tests with them passed; they are refused all the same, as a sum is one look away.

Now such jobs and reports are refused as malformed, with a line that says why.

Not mended: a panic in the control loop, wherever it comes from, leaves a process that serves nothing and does not end. No message is known that causes one.

Conclusion: one message could take the leader's loop down; these cannot any more.

--- a/src/core/plane/job.rs
+++ b/src/core/plane/job.rs
@@ -73,6 +73,14 @@
 /// Most tasks of a job, over all occurrences.
 const TASKS_MAX: u64 = 100_000;
 
+/// Longest estimate of a run time, in milliseconds: a year.
+const ESTIMATE_MAX_MS: u64 = 365 * 24 * 3_600 * 1_000;
+/// Latest first due time, in milliseconds since 1970: the largest whole number that every
+/// writer of JSON can express.
+const FIRST_MAX_MS: u64 = 1 << 53;
+/// Longest time between two occurrences, in milliseconds: a hundred years.
+const EVERY_MAX_MS: u64 = 100 * ESTIMATE_MAX_MS;
+
 impl Submission {
     /// Checks that the steps refer to earlier ones only and sizes are in range.
     ///
@@ -94,6 +102,15 @@
             if need.cpu < 0 || need.memory < 0 || need.accelerators < 0 {
                 return Err(format!("step {at} needs less than nothing"));
             }
+            if !need.is_in_range() {
+                return Err(format!("step {at} needs more than any worker can have"));
+            }
+            if step.estimate_ms > ESTIMATE_MAX_MS {
+                return Err(format!("step {at} is estimated at more than a year"));
+            }
+        }
+        if self.first_ms > FIRST_MAX_MS || self.every_ms > EVERY_MAX_MS {
+            return Err("the due times are out of range".to_owned());
         }
         let tasks: u64 = self.steps.iter().map(|s| u64::from(s.count)).sum();
         let occurrences = u64::from(self.repeat.max(1));
--- a/src/core/plane/lead/requests.rs
+++ b/src/core/plane/lead/requests.rs
@@ -161,6 +161,12 @@
     }
 
     fn take_report(&mut self, now: Now, state: &State, call: Call, report: Report) {
+        if !report.capacity.is_in_range() {
+            let why = format!("the capacity {:?} cannot be", report.capacity);
+            self.note_refusal(state, format!("report of {}", report.id), why.clone());
+            self.answer(call, Answer::Malformed(why));
+            return;
+        }
         let known = state.worker_keys.get(&report.id).copied();
         if let Some(key) = known {
             let worker = state.worker(key);
--- a/src/core/plane/types.rs
+++ b/src/core/plane/types.rs
@@ -154,7 +154,19 @@
     pub accelerators: i64,
 }
 
+/// Most of anything that one task or worker can have; sums over a fleet and all its tasks
+/// stay in range.
+const AMOUNT_MAX: i64 = 1 << 40;
+
 impl Amount {
+    /// Returns whether no part is below nothing or beyond what can be.
+    pub fn is_in_range(&self) -> bool {
+        let range = 0..=AMOUNT_MAX;
+        range.contains(&self.cpu)
+            && range.contains(&self.memory)
+            && range.contains(&self.accelerators)
+    }
+
     /// Returns whether each part is at most that of `room`.
     pub const fn fits(&self, room: &Self) -> bool {
         self.cpu <= room.cpu && self.memory <= room.memory && self.accelerators <= room.accelerators
