Bound the connections to workers by the descriptors that there are

Cause: a leader keeps up to three idle connections to each worker and opened more without a limit. At 3,000 workers no descriptor was left, for looks and leases as little as for links.

A connection that has been idle for longest makes way for a new one; where all are in use, the order counts as not sent, at once. A connection that does not come up has a line, unreached, with the reason and how many are open.

Ruled out: fewer idle connections for each worker (new ones are priced, and the limit would only be reached later).

So the limit alone is not the cure: the reserve for reports and links of 300 instances is too small, and waiting looks hold a connection for each busy worker.

The leader says now what it lacks.

--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -164,6 +164,15 @@
         /// Why.
         error: String,
     },
+    /// A worker or the permission service could not be reached; nothing was sent.
+    Unreached {
+        /// Address.
+        address: String,
+        /// Why; also that all connections that may be open are in use.
+        error: String,
+        /// Connections open.
+        open: usize,
+    },
     /// Lines that were left out.
     LeftOut {
         /// Kind of line.
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -3,7 +3,8 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -32,6 +33,27 @@
     pub sender: SendRequest<Full<Bytes>>,
     driver: tokio::task::AbortHandle,
     address: SocketAddr,
+    _slot: Slot,
+}
+
+// Counts a connection for as long as it is there.
+#[derive(Debug)]
+struct Slot(Arc<AtomicUsize>);
+
+impl Slot {
+    // None if `most` are open.
+    fn take(open: &Arc<AtomicUsize>, most: usize) -> Option<Self> {
+        let one_more = |count: usize| (count < most).then_some(count + 1);
+        open.fetch_update(Ordering::AcqRel, Ordering::Acquire, one_more)
+            .is_ok()
+            .then(|| Self(Arc::clone(open)))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 impl Connection {
@@ -48,17 +70,40 @@
 }
 
 /// Idle connections by upstream address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    open: Arc<AtomicUsize>,
+    most: usize,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self::with_most(usize::MAX)
+    }
 }
 
 impl Pool {
+    /// Makes a pool that has at most `most` connections open, in use or idle.
+    pub fn with_most(most: usize) -> Self {
+        Self {
+            idle: Mutex::default(),
+            open: Arc::default(),
+            most,
+        }
+    }
+
+    /// Returns how many connections are open.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+
     /// Takes an idle connection that was proven lately, or opens a new one.
     ///
     /// # Errors
     ///
-    /// Fails if the upstream cannot be reached; nothing has been sent then.
+    /// Fails if the upstream cannot be reached or all connections that may be open are in
+    /// use; nothing has been sent then.
     pub async fn take(&self, address: SocketAddr, idempotent: bool) -> std::io::Result<Connection> {
         let age_max = if idempotent { IDLE_MAX } else { PROVEN_FOR };
         while let Some(idle) = self.pop(address) {
@@ -68,7 +113,29 @@
             }
             idle.connection.close();
         }
-        connect(address).await
+        connect(address, self.slot()?).await
+    }
+
+    // Idle connections to others make way, the longest idle first.
+    fn slot(&self) -> std::io::Result<Slot> {
+        loop {
+            if let Some(slot) = Slot::take(&self.open, self.most) {
+                return Ok(slot);
+            }
+            let Some(oldest) = self.pop_oldest() else {
+                let message = format!("{} connections are in use", self.most);
+                return Err(std::io::Error::other(message));
+            };
+            oldest.connection.close();
+        }
+    }
+
+    fn pop_oldest(&self) -> Option<Idle> {
+        let mut idle = self.idle.lock().expect("pool lock");
+        let lists = idle.iter().filter(|(_, list)| !list.is_empty());
+        // Connections are taken from the end of a list, so that the first is the oldest.
+        let (&address, _) = lists.min_by_key(|(_, list)| list[0].since)?;
+        Some(idle.get_mut(&address)?.remove(0))
     }
 
     fn pop(&self, address: SocketAddr) -> Option<Idle> {
@@ -110,7 +177,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> std::io::Result<Connection> {
+async fn connect(address: SocketAddr, slot: Slot) -> std::io::Result<Connection> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
@@ -134,5 +201,6 @@
         sender,
         driver: driver.abort_handle(),
         address,
+        _slot: slot,
     })
 }
--- /dev/null
+++ b/tests/pool.rs
@@ -0,0 +1,69 @@
+//! Connections to upstreams and workers when descriptors are few.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use plantaincross::http::{Connection, Pool};
+use tokio::net::TcpListener;
+
+async fn upstream() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = service_fn(|_: Request<Incoming>| async {
+                Ok::<_, std::convert::Infallible>(Response::new(Full::new(Bytes::from("ok"))))
+            });
+            let serving = hyper::server::conn::http1::Builder::new();
+            tokio::spawn(serving.serve_connection(TokioIo::new(stream), answer));
+        }
+    });
+    address
+}
+
+async fn exchange(connection: &mut Connection) {
+    let request = Request::builder()
+        .uri("/")
+        .header("host", "h")
+        .body(Full::new(Bytes::new()))
+        .expect("a request");
+    connection.sender.ready().await.expect("open");
+    let answer = connection.sender.send_request(request).await;
+    let body = answer.expect("an answer").into_body();
+    body.collect().await.expect("a body");
+}
+
+// Workers that are reached in turn must not use up the descriptors: the connection that has
+// been idle for longest makes way.
+#[tokio::test]
+async fn idle_connections_make_way() {
+    let pool = Pool::with_most(3);
+    for _ in 0..10 {
+        let address = upstream().await;
+        let mut connection = pool.take(address, true).await.expect("room is made");
+        exchange(&mut connection).await;
+        pool.put(connection, 3);
+        assert!(pool.open() <= 3, "{} connections are open", pool.open());
+    }
+}
+
+// A limit that is reached costs a part: connections in use stay, a further one is refused at
+// once, and there is room again when one is closed.
+#[tokio::test]
+async fn a_full_pool_refuses_and_recovers() {
+    let pool = Pool::with_most(2);
+    let mut first = pool.take(upstream().await, true).await.expect("room");
+    let second = pool.take(upstream().await, true).await.expect("room");
+    let third = upstream().await;
+    assert!(pool.take(third, true).await.is_err());
+    exchange(&mut first).await;
+    second.close();
+    let mut third = pool.take(third, true).await.expect("room again");
+    exchange(&mut third).await;
+    assert_eq!(pool.open(), 2);
+}
