Ask for a gang's further workers where these have room for what it lacks

Now a gang's missing places decide how many further workers are named, up to eight questions at once, and a renewal is asked as a whole or not yet. Room kept for gangs counts memory too.

Tests: tests/scale.rs plays 1,100 workers with the load of the large deployment.

What is left is the choice between one wide gang and many small jobs on a full fleet.

--- a/src/core/plane/lead/ask.rs
+++ b/src/core/plane/lead/ask.rs
@@ -20,12 +20,27 @@
 /// Places named for each task of a gang: a policy that allows a third of the workers
 /// leaves some to choose from.
 const NAMED_PER_TASK: usize = 4;
+/// Places on empty workers that should be known to be good for each task of a gang: half of
+/// them may be taken by work that does not end soon.
+const GATHERED_PER_TASK: usize = 6;
+/// Room to name for what a gang lacks, as a multiple of what would do if just the usual
+/// share of the workers were granted.
+const LEARNED_MARGIN: f64 = 2.0;
 /// Further places named again for each task of a gang whose permits have lapsed: others
 /// take some of the room while the question is under way.
 const SPARE_PER_TASK: usize = 1;
 /// A step that permits would not let start is looked at again after this.
 const ASK_AGAIN: Duration = Duration::from_millis(60);
 
+// Whom to ask for.
+enum Wish {
+    Nobody,
+    // These, all at once.
+    All(Vec<WorkerKey>),
+    // As many of these as have room for some number of tasks.
+    Some(Vec<WorkerKey>, usize),
+}
+
 impl Lead {
     // Workers that may run a step and could get work.
     pub(super) fn known_good(&self, step: StepName, seats: &Seats) -> Option<Vec<WorkerKey>> {
@@ -56,32 +71,52 @@
         if self.permits.is_waiting(now.at, step) || !self.permits.can_ask(now.at, is_slow) {
             return;
         }
-        let mut named: Vec<WorkerKey> = match self.permits.known(step) {
-            Some(known) if !known.good.is_empty() || !known.bad.is_empty() => {
+        let known = self.permits.known(step);
+        let wish = match known.filter(|k| !k.good.is_empty() || !k.bad.is_empty()) {
+            Some(known) => {
                 let (good, others): (Vec<WorkerKey>, Vec<WorkerKey>) = eligible
                     .iter()
                     .copied()
                     .filter(|key| !known.bad.contains(key))
                     .partition(|key| known.good.contains_key(key));
-                let find = |allowed: &[WorkerKey]| seats.find(what, wanted, allowed, present);
-                self.worth_asking(now, state, step, what, wanted, seats, &find, &good, &others)
+                let fitting = seats.find(what, wanted, &good, present);
+                if needs_all {
+                    self.gang_wish(now, step, what, wanted, seats, fitting, &good, others)
+                } else {
+                    let find = |allowed: &[WorkerKey]| seats.find(what, wanted, allowed, present);
+                    self.wish(now, step, seats, &find, fitting, &good, others)
+                }
             }
-            _ => eligible.to_vec(),
+            None => Wish::Some(eligible.to_vec(), wanted * NAMED_PER_TASK),
         };
         seats.count(eligible.len());
-        if named.is_empty() {
-            self.permits.defer(step, now.at + ASK_AGAIN);
-            return;
-        }
-        let parts = if needs_all && is_slow {
+        let most_parts = if needs_all && is_slow {
             self.permits.parts(now.at)
         } else {
             1
         };
-        if named.len() > most {
-            sample(seats, what, step, &mut named);
-            let enough = first_with_room(seats, what, &named, wanted * NAMED_PER_TASK);
-            named.truncate(enough.clamp(most, most * parts));
+        let (named, parts) = match wish {
+            Wish::Nobody => (Vec::new(), 0),
+            Wish::All(named) => {
+                let parts = named.len().div_ceil(most);
+                if parts > 1 && parts > self.permits.idle(now.at) {
+                    (Vec::new(), 0)
+                } else {
+                    (named, parts)
+                }
+            }
+            Wish::Some(mut named, room) => {
+                if named.len() > most {
+                    sample(seats, what, step, &mut named);
+                    let enough = first_with_room(seats, what, &named, room);
+                    named.truncate(enough.clamp(most, most * most_parts));
+                }
+                (named, most_parts)
+            }
+        };
+        if named.is_empty() {
+            self.permits.defer(step, now.at + ASK_AGAIN);
+            return;
         }
         // Below half of a question's usual size its fixed cost is most of it.
         let parts = parts.min(named.len().div_ceil(most.div_ceil(2)));
@@ -94,50 +129,98 @@
         }
     }
 
-    // Workers whose permit would let tasks start now: those that are known to be good
-    // and have room, else those not named yet. Nobody, if tasks would not fit anyway.
+    // Of the workers that are known to be good, those whose permits would let tasks start
+    // now, else those not named yet. Nobody, if no task would fit anyway.
     #[expect(clippy::too_many_arguments, reason = "the state of one round")]
-    fn worth_asking(
+    fn wish(
+        &self,
+        now: Now,
+        step: StepName,
+        seats: &Seats,
+        find: &dyn Fn(&[WorkerKey]) -> Vec<WorkerKey>,
+        fitting: Vec<WorkerKey>,
+        good: &[WorkerKey],
+        others: Vec<WorkerKey>,
+    ) -> Wish {
+        if !fitting.is_empty() {
+            let spare = |fitting: &[WorkerKey]| SPARE_NAMED + fitting.len() / SPARE_PART;
+            return self.renewal(now, step, seats, fitting, good, spare);
+        }
+        if find(&others).is_empty() {
+            return Wish::Nobody;
+        }
+        Wish::Some(others, 0)
+    }
+
+    // The same for a gang, which needs all its places at once. Further workers are named if
+    // those of them that are likely to be good have room for what is missing.
+    //
+    // Load: hundreds of gangs wait on a full fleet, and the permission service has time for
+    // some hundred questions at once. Learning workers without room takes that time from
+    // gangs that could start.
+    #[expect(clippy::too_many_arguments, reason = "the state of one round")]
+    fn gang_wish(
         &self,
         now: Now,
-        state: &State,
         step: StepName,
         what: &Candidate,
         wanted: usize,
         seats: &Seats,
-        find: &dyn Fn(&[WorkerKey]) -> Vec<WorkerKey>,
+        fitting: Vec<WorkerKey>,
         good: &[WorkerKey],
-        others: &[WorkerKey],
-    ) -> Vec<WorkerKey> {
-        let needed = if needs_all(state, step) { wanted } else { 1 };
-        let mut fitting = find(good);
-        if fitting.len() >= needed {
-            fitting.sort_unstable();
-            fitting.dedup();
-            let has_lapsed = |key: &WorkerKey| self.permits.valid(now.at, step, *key).is_none();
-            if !fitting.iter().any(has_lapsed) {
-                return Vec::new();
-            }
-            let mut more: Vec<WorkerKey> = good
-                .iter()
-                .copied()
-                .filter(|k| !fitting.contains(k))
-                .collect();
-            let room = |key: &WorkerKey| seats.get(*key).map_or(0, |seat| seat.free.cpu);
-            more.sort_by_key(|key| std::cmp::Reverse(room(key)));
-            let mut spare = SPARE_NAMED + fitting.len() / SPARE_PART;
-            if needed > 1 {
-                spare = spare.max(first_with_room(seats, what, &more, wanted * SPARE_PER_TASK));
-            }
-            fitting.extend(more.into_iter().take(spare));
-            return fitting;
+        others: Vec<WorkerKey>,
+    ) -> Wish {
+        if fitting.len() >= wanted {
+            let more_room = wanted * SPARE_PER_TASK;
+            let spare = |fitting: &[WorkerKey]| {
+                let more = more_than(seats, good, fitting);
+                let least = SPARE_NAMED + fitting.len() / SPARE_PART;
+                least.max(first_with_room(seats, what, &more, more_room))
+            };
+            return self.renewal(now, step, seats, fitting, good, spare);
         }
-        let all: Vec<WorkerKey> = good.iter().chain(others).copied().collect();
-        if find(&all).len() < needed {
-            return Vec::new();
+        let missing = wanted - fitting.len();
+        let needed = (missing as f64 * LEARNED_MARGIN / self.permits.granted_share(step)) as usize;
+        let room: usize = others.iter().map(|&key| seats.room_for(key, what)).sum();
+        if room >= missing {
+            return Wish::Some(others, needed);
         }
-        others.to_vec()
+        if seats.holds(good, what) < wanted * GATHERED_PER_TASK {
+            return Wish::Some(others, 0);
+        }
+        Wish::Nobody
     }
+
+    // All permits for workers that fit, if one of them has lapsed, and for some more.
+    fn renewal(
+        &self,
+        now: Now,
+        step: StepName,
+        seats: &Seats,
+        mut fitting: Vec<WorkerKey>,
+        good: &[WorkerKey],
+        spare: impl Fn(&[WorkerKey]) -> usize,
+    ) -> Wish {
+        fitting.sort_unstable();
+        fitting.dedup();
+        let has_lapsed = |key: &WorkerKey| self.permits.valid(now.at, step, *key).is_none();
+        if !fitting.iter().any(has_lapsed) {
+            return Wish::Nobody;
+        }
+        let more = more_than(seats, good, &fitting);
+        let spare = spare(&fitting);
+        fitting.extend(more.into_iter().take(spare));
+        Wish::All(fitting)
+    }
+}
+
+// Workers beside those that fit, the ones with most room first.
+fn more_than(seats: &Seats, good: &[WorkerKey], fitting: &[WorkerKey]) -> Vec<WorkerKey> {
+    let is_more = |key: &WorkerKey| !fitting.contains(key);
+    let mut more: Vec<WorkerKey> = good.iter().copied().filter(is_more).collect();
+    let room = |key: &WorkerKey| seats.get(*key).map_or(0, |seat| seat.free.cpu);
+    more.sort_by_key(|key| std::cmp::Reverse(room(key)));
+    more
 }
 
 // Puts workers with room first, otherwise in an order that differs for each step, which
--- a/src/core/plane/lead/permits.rs
+++ b/src/core/plane/lead/permits.rs
@@ -24,9 +24,9 @@
 /// Part of the instances that may have slow questions under way, so that the others
 /// are free for quick ones.
 const SLOW_SHARE: f64 = 0.6;
-/// Most slow questions of one step at once. Four name some 270 workers on the terms of the
-/// first users, most of a fleet of 350.
-const PARTS_MAX: usize = 4;
+/// Most slow questions of one step at once. Eight name some 550 workers on the terms of the
+/// first users, of which 190 may run the step: places for a gang of 130.
+const PARTS_MAX: usize = 8;
 /// Idle instances for each of them, so that two other steps find one.
 const IDLE_PER_PART: usize = 3;
 /// Longest time that a quick question may wait for its turn at the instance that
@@ -198,11 +198,22 @@
         self.choose(now, is_slow).is_some()
     }
 
+    /// Returns how many instances could ask a slow question now.
+    pub fn idle(&self, now: Moment) -> usize {
+        self.slow_askers().filter(|(_, a)| a.is_idle(now)).count()
+    }
+
     /// Returns how many slow questions of one step may be under way at once: a part of
     /// what the idle instances could ask, so that other steps find one too.
     pub fn parts(&self, now: Moment) -> usize {
-        let idle = self.slow_askers().filter(|(_, a)| a.is_idle(now)).count();
-        (idle / IDLE_PER_PART).clamp(1, PARTS_MAX)
+        (self.idle(now) / IDLE_PER_PART).clamp(1, PARTS_MAX)
+    }
+
+    /// Returns the share of the workers named for a step that may run it.
+    pub fn granted_share(&self, step: StepName) -> f64 {
+        let known = self.steps.get(&step);
+        let (good, bad) = known.map_or((0, 0), |k| (k.good.len(), k.bad.len()));
+        (good + 1) as f64 / (good + bad + 2) as f64
     }
 
     /// Asks for workers, if an instance can ask. Yields who asks what.
--- a/src/core/plane/lead/place.rs
+++ b/src/core/plane/lead/place.rs
@@ -156,6 +156,13 @@
         count
     }
 
+    /// Returns how many tasks the workers would hold if they were empty.
+    pub fn holds(&self, workers: &[WorkerKey], what: &Candidate) -> usize {
+        self.count(workers.len());
+        let seats = workers.iter().filter_map(|&key| self.get(key));
+        seats.map(|seat| places(&seat.capacity, what)).sum()
+    }
+
     /// Finds workers for up to `count` tasks among `allowed`, given how many tasks of
     /// the step each worker has. Takes no room.
     pub fn find(
@@ -287,8 +294,7 @@
                 return;
             }
             let seat = self.get_mut(key).expect("listed above");
-            let each = seat.capacity.cpu / what.room.cpu.max(1);
-            let here = usize::try_from(each).unwrap_or(1).clamp(1, left);
+            let here = places(&seat.capacity, what).clamp(1, left);
             // Urgent work may still take the room.
             seat.free_later -= what.room.times(here as i64);
             left -= here;
@@ -296,6 +302,16 @@
     }
 }
 
+// How many tasks fit in `room`, none of which is taken.
+fn places(room: &Amount, what: &Candidate) -> usize {
+    let part = |have: i64, need: i64| if need > 0 { have / need } else { i64::MAX };
+    let most = part(room.cpu, what.room.cpu)
+        .min(part(room.memory, what.room.memory))
+        .min(part(room.accelerators, what.room.accelerators));
+    let limit = i64::from(what.most.unwrap_or(COUNTED_MAX));
+    usize::try_from(most.min(limit)).unwrap_or(0)
+}
+
 // Lower is better: the room left over, and what makes the worker a bad choice.
 fn cost(seat: &Seat, what: &Candidate) -> f64 {
     let left = (seat.free.cpu - what.room.cpu) as f64;
--- /dev/null
+++ b/tests/scale.rs
@@ -0,0 +1,233 @@
+//! Load of a fleet of 1,100 workers: what callers get.
+
+#[path = "support/plane.rs"]
+mod support;
+
+use plantaincross::core::plane::job::StepSpec;
+use plantaincross::core::plane::lead::Query;
+use plantaincross::core::plane::plan::{Permission, Queue};
+use plantaincross::core::plane::types::{Amount, JobId};
+use plantaincross::core::plane::worker::Report;
+use support::{Cell, queue, tasks};
+
+const SECONDS: u64 = 36;
+/// Steps of a millisecond between two arrivals of gangs: 8.3 a second.
+const GANG_EVERY: u64 = 120;
+/// The same of wide jobs: 11 a second.
+const WIDE_EVERY: u64 = 90;
+/// The same of urgent jobs: 166 a second.
+const URGENT_EVERY: u64 = 6;
+/// Time between two waves of workers that leave.
+const LEAVE_EVERY: u64 = 4_000;
+
+fn terms(decide_ms: f64, each_ms: f64) -> Option<Permission> {
+    Some(Permission {
+        decide_ms,
+        each_ms,
+        valid_ms: 2_500,
+    })
+}
+
+fn queues() -> Vec<Queue> {
+    vec![
+        queue("urgent", 0, terms(7.0, 0.1)),
+        Queue {
+            stretch: 2.2,
+            goal_ms: 1_000,
+            ..queue("gang", 1, terms(390.0, 5.6))
+        },
+        Queue {
+            stretch: 4.0,
+            goal_ms: 3_000,
+            ..queue("wide", 2, terms(80.0, 1.2))
+        },
+    ]
+}
+
+/// How much comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Load {
+    /// Four fifths of what the fleet can do.
+    Usual,
+    /// More than it can do for some seconds, and workers leave.
+    Over,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    id: u64,
+    at: u64,
+    goal_ms: u64,
+    tasks: u16,
+}
+
+struct Day {
+    cell: Cell,
+    next: u64,
+    gangs: Vec<Sent>,
+    wide: Vec<Sent>,
+    urgent: Vec<Sent>,
+}
+
+impl Day {
+    fn new(seed: u64) -> Self {
+        let mut cell = Cell::new(seed, 1_100, queues(), Amount::default());
+        for worker in &mut cell.workers {
+            worker.report.capacity.memory = 64_000;
+            worker.report.sequence += 1;
+        }
+        let reports: Vec<Report> = cell.workers.iter().map(|w| w.report.clone()).collect();
+        for report in reports {
+            cell.query(Query::Report(Box::new(report)));
+        }
+        cell.run_for(100);
+        cell.is_strict = true;
+        cell.askers = 153;
+        cell.take_over();
+        cell.run_for(1_000);
+        Self {
+            cell,
+            next: 1,
+            gangs: Vec::new(),
+            wide: Vec::new(),
+            urgent: Vec::new(),
+        }
+    }
+
+    // A size around `mean` with many small ones and few that are five times as large.
+    fn width(&mut self, mean: u64) -> u16 {
+        let product = (1 + self.cell.draw(10)) * (1 + self.cell.draw(10)) * (1 + self.cell.draw(5));
+        (product * mean / 90).clamp(2, 5 * mean) as u16
+    }
+
+    // A step of `count` tasks of about `cores` cores and `memory` megabytes, whose time is
+    // estimated at half to one and a half times what it is.
+    fn step(&mut self, count: u16, cores: u64, memory: u64, ms: u64) -> StepSpec {
+        let mut vary = |mean: u64| (mean / 2 + self.cell.draw(mean)) as i64;
+        StepSpec {
+            need: Amount {
+                cpu: vary(cores * 1_000),
+                memory: vary(memory),
+                accelerators: 0,
+            },
+            ..tasks(count, 0, vary(ms) as u64)
+        }
+    }
+
+    fn gang(&mut self) {
+        let count = self.width(31);
+        let ms = 3_000 + self.cell.draw(6_400);
+        let step = StepSpec {
+            gang: true,
+            ..self.step(count, 9, 17_000, ms)
+        };
+        self.gangs.push(Sent {
+            id: self.next,
+            at: self.cell.now,
+            goal_ms: ms * 22 / 10 + 1_000,
+            tasks: count,
+        });
+        self.cell.submit("gang", self.next, vec![step], ms);
+        self.next += 1;
+    }
+
+    fn wide(&mut self) {
+        let count = self.width(60);
+        let ms = 1_500 + self.cell.draw(2_400);
+        let step = self.step(count, 5, 10_000, ms);
+        self.wide.push(Sent {
+            id: self.next,
+            at: self.cell.now,
+            goal_ms: ms * 4 + 3_000,
+            tasks: count,
+        });
+        self.cell.submit("wide", self.next, vec![step], ms);
+        self.next += 1;
+    }
+
+    fn urgent(&mut self) {
+        let ms = 400 + self.cell.draw(500);
+        self.urgent.push(Sent {
+            id: self.next,
+            at: self.cell.now,
+            goal_ms: ms * 15 / 10 + 250,
+            tasks: 4,
+        });
+        let step = StepSpec {
+            gang: self.next.is_multiple_of(3),
+            ..self.step(4, 8, 14_000, ms)
+        };
+        self.cell.submit("urgent", self.next, vec![step], ms);
+        self.next += 1;
+    }
+
+    fn play(&mut self, load: Load) {
+        for ms in 0..SECONDS * 1_000 {
+            // Gangs come at almost twice their rate for some seconds.
+            let in_burst = load == Load::Over
+                && ((12_000..16_000).contains(&ms) || (24_000..26_000).contains(&ms));
+            let gang_every = if in_burst {
+                GANG_EVERY * 10 / 18
+            } else {
+                GANG_EVERY
+            };
+            if ms.is_multiple_of(gang_every) {
+                self.gang();
+            }
+            if ms.is_multiple_of(WIDE_EVERY) {
+                self.wide();
+            }
+            if ms.is_multiple_of(URGENT_EVERY) {
+                self.urgent();
+            }
+            // One worker of five leaves, in three waves.
+            let leaves = load == Load::Over && ms.is_multiple_of(LEAVE_EVERY);
+            if leaves && ms / LEAVE_EVERY < 3 {
+                let first = (ms / LEAVE_EVERY) as usize * 5;
+                (first..1_100)
+                    .step_by(15)
+                    .for_each(|at| self.cell.drain(at));
+            }
+            self.cell.step();
+        }
+        self.cell.run_for(14_000);
+    }
+
+    // Part of the jobs that ended within their goal.
+    fn in_time(&self, jobs: &[Sent]) -> f64 {
+        let is_in_time = |job: &&Sent| {
+            let end = self.cell.completed.get(&JobId(job.id));
+            end.is_some_and(|end| end - job.at <= job.goal_ms)
+        };
+        jobs.iter().filter(is_in_time).count() as f64 / jobs.len() as f64
+    }
+}
+
+// The largest tenth of the gangs are served at least 0.7 times as often as all of them, and
+// urgent jobs do not pay for it.
+fn large_gangs_are_served(seed: u64, load: Load) {
+    let mut day = Day::new(seed);
+    day.play(load);
+    let mut gangs = day.gangs.clone();
+    gangs.sort_by_key(|gang| gang.tasks);
+    let largest = &gangs[gangs.len() * 9 / 10..];
+    let (all, large) = (day.in_time(&gangs), day.in_time(largest));
+    let (wide, urgent) = (day.in_time(&day.wide), day.in_time(&day.urgent));
+    println!("in time: gangs {all:.3}, largest {large:.3}, wide {wide:.3}, urgent {urgent:.3}");
+    assert!(
+        large >= 0.7 * all,
+        "of the largest tenth {large:.2} are in time, of all gangs {all:.2}"
+    );
+    assert!(urgent >= 0.95, "{urgent:.3} of the urgent jobs are in time");
+}
+
+macro_rules! days {
+    ($($name:ident: $seed:expr, $load:expr;)*) => {
+        $(#[test] fn $name() { large_gangs_are_served($seed, $load); })*
+    };
+}
+
+days! {
+    large_gangs_on_a_fleet_that_is_four_fifths_full: 1, Load::Usual;
+    large_gangs_on_a_fleet_that_is_over_full: 6, Load::Over;
+}
