--- a/src/core/plane/lead/ask.rs
+++ b/src/core/plane/lead/ask.rs
@@ -20,9 +20,9 @@
 /// Places named for each task of a gang: a policy that allows a third of the workers
 /// leaves some to choose from.
 const NAMED_PER_TASK: usize = 4;
-/// Places on empty workers that should be known to be good for each task of a gang: half of
-/// them may be taken by work that does not end soon.
-const GATHERED_PER_TASK: usize = 6;
+/// Places, free or not, that should be known to be good for each task of a gang, so that a
+/// fleet that is five sixths full has room for it.
+const KNOWN_PER_TASK: usize = 6;
 /// Room to name for what a gang lacks, as a multiple of what would do if just the usual
 /// share of the workers were granted.
 const LEARNED_MARGIN: f64 = 2.0;
@@ -71,24 +71,7 @@
         if self.permits.is_waiting(now.at, step) || !self.permits.can_ask(now.at, is_slow) {
             return;
         }
-        let known = self.permits.known(step);
-        let wish = match known.filter(|k| !k.good.is_empty() || !k.bad.is_empty()) {
-            Some(known) => {
-                let (good, others): (Vec<WorkerKey>, Vec<WorkerKey>) = eligible
-                    .iter()
-                    .copied()
-                    .filter(|key| !known.bad.contains(key))
-                    .partition(|key| known.good.contains_key(key));
-                let fitting = seats.find(what, wanted, &good, present);
-                if needs_all {
-                    self.gang_wish(now, step, what, wanted, seats, fitting, &good, others)
-                } else {
-                    let find = |allowed: &[WorkerKey]| seats.find(what, wanted, allowed, present);
-                    self.wish(now, step, seats, &find, fitting, &good, others)
-                }
-            }
-            None => Wish::Some(eligible.to_vec(), wanted * NAMED_PER_TASK),
-        };
+        let wish = self.wish(now, step, what, wanted, eligible, seats, present, needs_all);
         seats.count(eligible.len());
         let most_parts = if needs_all && is_slow {
             self.permits.parts(now.at)
@@ -129,10 +112,39 @@
         }
     }
 
+    #[expect(clippy::too_many_arguments, reason = "the state of one round")]
+    fn wish(
+        &self,
+        now: Now,
+        step: StepName,
+        what: &Candidate,
+        wanted: usize,
+        eligible: &[WorkerKey],
+        seats: &Seats,
+        present: &HashMap<WorkerKey, u16>,
+        is_gang: bool,
+    ) -> Wish {
+        let known = self.permits.known(step);
+        let Some(known) = known.filter(|k| !k.good.is_empty() || !k.bad.is_empty()) else {
+            return Wish::Some(eligible.to_vec(), wanted * NAMED_PER_TASK);
+        };
+        let (good, others): (Vec<WorkerKey>, Vec<WorkerKey>) = eligible
+            .iter()
+            .copied()
+            .filter(|key| !known.bad.contains(key))
+            .partition(|key| known.good.contains_key(key));
+        let fitting = seats.find(what, wanted, &good, present);
+        if is_gang {
+            return self.wish_of_gang(now, step, what, wanted, seats, fitting, &good, others);
+        }
+        let find = |allowed: &[WorkerKey]| seats.find(what, wanted, allowed, present);
+        self.wish_of_tasks(now, step, seats, &find, fitting, &good, others)
+    }
+
     // Of the workers that are known to be good, those whose permits would let tasks start
     // now, else those not named yet. Nobody, if no task would fit anyway.
     #[expect(clippy::too_many_arguments, reason = "the state of one round")]
-    fn wish(
+    fn wish_of_tasks(
         &self,
         now: Now,
         step: StepName,
@@ -159,7 +171,7 @@
     // some hundred questions at once. Learning workers without room takes that time from
     // gangs that could start.
     #[expect(clippy::too_many_arguments, reason = "the state of one round")]
-    fn gang_wish(
+    fn wish_of_gang(
         &self,
         now: Now,
         step: StepName,
@@ -185,7 +197,7 @@
         if room >= missing {
             return Wish::Some(others, needed);
         }
-        if seats.holds(good, what) < wanted * GATHERED_PER_TASK {
+        if seats.holds(good, what) < wanted * KNOWN_PER_TASK {
             return Wish::Some(others, 0);
         }
         Wish::Nobody
