Log the load of the leader's event loop

The logs could not tell a leader that is behind from workers that are silent, nor what took its time. Once a second the leader now writes how late it handles inputs (the delay of a timer that takes the same way as a worker's reply) and what it spent on planning rounds, on checks of all workers and in all. Two histograms give the same to metrics. No decision changes.

--- a/src/cell/control/links.rs
+++ b/src/cell/control/links.rs
@@ -14,6 +14,7 @@
 
 impl<P: Transport> Control<P> {
     pub(super) fn handle_link_event(&mut self, event: LinkEvent) {
+        self.load.record_input();
         match event {
             LinkEvent::Up(peer, link) => self.handle_peer_up(peer, link),
             LinkEvent::Down(id, number) => {
@@ -112,6 +113,7 @@
     }
 
     pub(super) fn handle_local_query(&mut self, local: LocalQuery) {
+        self.load.record_input();
         let now = self.clock.now();
         if self.replica.is_leader() {
             self.next_call += 1;
--- a/src/cell/control/log.rs
+++ b/src/cell/control/log.rs
@@ -101,6 +101,7 @@
     }
 
     pub(super) fn handle_disk_result(&mut self, completion: Completion) {
+        self.load.record_input();
         match completion {
             Completion::Stored { ready, last } => {
                 self.storing = false;
@@ -161,15 +162,12 @@
     }
 
     pub(super) fn apply_command(&mut self, command: Command) {
-        let now = self.now();
-        match &mut self.lead {
-            Some((_, lead)) => {
-                self.state.apply(command.clone());
-                let effects = lead.handle_applied(now, &self.state, &command);
-                self.execute(effects);
-            }
-            None => self.state.apply(command),
+        if self.lead.is_none() {
+            self.state.apply(command);
+            return;
         }
+        self.state.apply(command.clone());
+        self.decide(|lead, now, state| lead.handle_applied(now, state, &command));
     }
 
     pub(super) fn send_all(&mut self, messages: Vec<Raft>) {
--- a/src/cell/control/mod.rs
+++ b/src/cell/control/mod.rs
@@ -2,6 +2,7 @@
 //! the disk thread.
 
 mod links;
+mod load;
 mod log;
 
 use std::collections::{BTreeMap, HashMap};
@@ -36,6 +37,7 @@
 use crate::net::{LinkEvent, Mesh};
 use crate::store::{Folder, Wal};
 use crate::wire::{Body, LeaderHeartbeat, Ping, Voter};
+use load::DELAY_TIMER_INTERVAL;
 
 /// Longest wait of the loop on a leader: the shortest interval of the leader's timers.
 const LEADER_LOOP_WAIT_MAX: Duration = Duration::from_millis(20);
@@ -52,10 +54,12 @@
 /// Number of log entries at which the log is compacted.
 const COMPACT_LOG_ENTRIES: usize = 40_000;
 
-/// Result of a request that a spawned task made for the leader. The numbers are the term
-/// in which it was made and the number of the order or permission request.
+/// Input from a spawned task. The numbers of a reply or permission are the term in which the
+/// request was made and the number of the order or permission request.
 #[derive(Debug)]
 enum TaskResult {
+    /// A timer that expired at this time. Its delay is that of any other input.
+    DelayTimer(Moment),
     Reply(u64, u64, Reply),
     Permission(u64, u64, Permission),
 }
@@ -90,6 +94,7 @@
     state: State,
     /// Term and state of the leader role while this instance has it.
     lead: Option<(u64, Lead)>,
+    load: load::Load,
     peers: BTreeMap<InstanceId, Peer>,
     links: Links,
     calls: Calls,
@@ -189,6 +194,7 @@
         replica,
         state,
         lead: None,
+        load: load::Load::default(),
         peers: BTreeMap::new(),
         links: Links::new(),
         calls: Calls::default(),
@@ -213,10 +219,24 @@
         results: results_in,
         completions: completions_in,
     };
+    tokio::spawn(send_delay_timers(clock, control.results.clone()));
     tokio::spawn(control.run(inboxes));
     Ok(handle)
 }
 
+// Sends the expiry of a timer on the way that replies of workers take, until the event loop
+// ends.
+async fn send_delay_timers(clock: Clock, results: mpsc::Sender<TaskResult>) {
+    loop {
+        let expires_at = clock.now() + DELAY_TIMER_INTERVAL;
+        sleep(DELAY_TIMER_INTERVAL).await;
+        let timer = TaskResult::DelayTimer(expires_at);
+        if results.send(timer).await.is_err() {
+            return;
+        }
+    }
+}
+
 fn decode_state(data: &[u8]) -> Result<State> {
     codec::decode(data).map_err(|err| {
         let message = format!("state in the stored snapshot cannot be decoded: {err}");
@@ -253,7 +273,14 @@
             self.handle_queued_inputs(&mut inboxes);
             self.tick();
             self.process_ready();
-            busy = self.clock.now().since(last);
+            let end = self.clock.now();
+            busy = end.since(last);
+            self.load.record_iteration(busy);
+            if self.lead.is_some()
+                && let Some(line) = self.load.take_line(end)
+            {
+                self.journal.write(&line);
+            }
         }
     }
 
@@ -295,11 +322,26 @@
         self.send_leader_heartbeats(now);
         self.review_voters(now);
         self.update_leadership(now);
+        let began = self.clock.now();
+        self.decide(|lead, now, state| lead.tick(now, state));
+        self.load.record_tick(self.clock.now().since(began));
+    }
+
+    // Has the leader decide, if this instance leads, and carries out what it decided.
+    fn decide(&mut self, decide: impl FnOnce(&mut Lead, Now, &State) -> Vec<Effect>) {
         let now = self.now();
-        if let Some((_, lead)) = &mut self.lead {
-            let effects = lead.tick(now, &self.state);
-            self.execute(effects);
+        let Some((_, lead)) = &mut self.lead else {
+            return;
+        };
+        let rounds_before = lead.rounds();
+        let effects = decide(lead, now, &self.state);
+        let rounds = lead.rounds() - rounds_before;
+        if rounds > 0 {
+            let took = self.clock.now().since(now.at);
+            self.load.record_planning(took, rounds);
+            Metrics::observe(&self.metrics.planning_seconds, took);
         }
+        self.execute(effects);
     }
 
     // Bootstraps a new cell. Only the seed with the lowest address does so, and only once
@@ -443,6 +485,7 @@
         let mut lead = Lead::new(self.now(), term, bounds, &self.state);
         lead.set_requesters(&self.requesters());
         self.lead = Some((term, lead));
+        self.load = load::Load::starting(self.clock.now());
         self.next_leader_heartbeat_at = Moment::ZERO;
     }
 
@@ -480,10 +523,7 @@
             self.send_answer(call, Answer::NotLeader);
             return;
         }
-        if let Some((_, lead)) = &mut self.lead {
-            let effects = lead.handle_query(now, &self.state, call, query);
-            self.execute(effects);
-        }
+        self.decide(|lead, now, state| lead.handle_query(now, state, call, query));
     }
 
     fn send_answer(&mut self, call: Call, answer: Answer) {
@@ -500,21 +540,30 @@
     }
 
     fn handle_task_result(&mut self, result: TaskResult) {
-        let now = self.now();
-        let Some((term, lead)) = &mut self.lead else {
-            return;
-        };
-        let effects = match result {
-            TaskResult::Reply(request_term, number, reply) if request_term == *term => {
-                lead.handle_reply(now, &self.state, number, reply)
+        self.load.record_input();
+        let led_term = self.lead.as_ref().map(|(term, _)| *term);
+        match result {
+            TaskResult::DelayTimer(expired_at) => self.record_delay(expired_at),
+            TaskResult::Reply(term, number, reply) if led_term == Some(term) => {
+                self.decide(|lead, now, state| lead.handle_reply(now, state, number, reply));
             }
-            TaskResult::Permission(request_term, number, permission) if request_term == *term => {
-                lead.handle_permission(now, &self.state, number, permission)
+            TaskResult::Permission(term, number, permission) if led_term == Some(term) => {
+                self.decide(|lead, now, state| {
+                    lead.handle_permission(now, state, number, permission)
+                });
             }
             // The request was made in an earlier term of this instance.
-            TaskResult::Reply(..) | TaskResult::Permission(..) => return,
-        };
-        self.execute(effects);
+            TaskResult::Reply(..) | TaskResult::Permission(..) => {}
+        }
+    }
+
+    fn record_delay(&mut self, expired_at: Moment) {
+        if self.lead.is_none() {
+            return;
+        }
+        let delay = self.clock.now().since(expired_at);
+        self.load.record_delay(delay);
+        Metrics::observe(&self.metrics.leader_delay_seconds, delay);
     }
 
     fn execute(&mut self, effects: Vec<Effect>) {
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -141,6 +141,26 @@
         /// if the process was suspended while waiting for inputs.
         busy_ms: u64,
     },
+    /// Load of the leader's event loop since the previous line. Times are wall-clock times.
+    LeaderLoad {
+        /// Time since the previous line, in milliseconds.
+        interval_ms: u64,
+        /// Longest delay between a timer's expiry and its handling, in milliseconds. A reply
+        /// of a worker waits as long before the leader handles it.
+        delay_max_ms: u64,
+        /// Time spent on inputs, planning, ticks and the replicated log, in milliseconds.
+        busy_ms: u64,
+        /// Part of it spent on planning rounds, in milliseconds.
+        planning_ms: u64,
+        /// Number of planning rounds.
+        rounds: u64,
+        /// Part of it spent on checking all workers for what is due, in milliseconds.
+        ticking_ms: u64,
+        /// Number of such checks.
+        ticks: u64,
+        /// Number of inputs: messages of peers, replies, queries and completed writes.
+        inputs: u64,
+    },
     /// A caller's request was answered.
     Request {
         /// HTTP method and path.
--- a/src/cell/metrics.rs
+++ b/src/cell/metrics.rs
@@ -38,6 +38,10 @@
     pub commit_seconds: Histogram,
     /// Time from accepting a job to placing one of its runs, in seconds.
     pub placement_wait_seconds: Histogram,
+    /// Delay between the expiry of a timer and its handling on the leader, in seconds.
+    pub leader_delay_seconds: Histogram,
+    /// Time of a planning round, in seconds.
+    pub planning_seconds: Histogram,
     /// 1 if this instance leads, else 0.
     pub is_leader: Gauge,
     /// Version of the configuration in force.
@@ -68,6 +72,8 @@
             permission_requests: Family::default(),
             commit_seconds: duration_histogram(),
             placement_wait_seconds: duration_histogram(),
+            leader_delay_seconds: duration_histogram(),
+            planning_seconds: duration_histogram(),
             is_leader: Gauge::default(),
             config_version: Gauge::default(),
             open_jobs: Gauge::default(),
@@ -95,6 +101,16 @@
             "Wait of runs",
             m.placement_wait_seconds.clone(),
         );
+        registry.register(
+            "leader_delay_seconds",
+            "Delay of the leader's event loop",
+            m.leader_delay_seconds.clone(),
+        );
+        registry.register(
+            "planning_seconds",
+            "Time of a planning round",
+            m.planning_seconds.clone(),
+        );
         registry.register("leads", "Whether this leads", m.is_leader.clone());
         registry.register(
             "configuration",
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -107,6 +107,8 @@
     /// Whether anything that planning depends on has changed since the latest round.
     dirty: bool,
     planned_at: Moment,
+    /// Number of planning rounds in this term.
+    rounds: u64,
     /// Interval until the next planning round, from the work of the latest one.
     plan_pause: Duration,
     effects: Vec<Effect>,
@@ -141,6 +143,7 @@
             urgent_cpu_peak: 0.0,
             dirty: true,
             planned_at: Moment::ZERO,
+            rounds: 0,
             plan_pause: PLAN_INTERVAL_MIN,
             effects: Vec::new(),
         };
@@ -359,6 +362,7 @@
         }
         self.dirty = false;
         self.planned_at = now.at;
+        self.rounds += 1;
         let (starts, examined) = self.plan(now, state);
         self.plan_pause =
             (PLAN_INTERVAL_MIN + PLAN_PAUSE_PER_ITEM * examined).min(PLAN_INTERVAL_MAX);
@@ -374,6 +378,11 @@
         }
     }
 
+    /// Returns the number of planning rounds in this term.
+    pub const fn rounds(&self) -> u64 {
+        self.rounds
+    }
+
     /// Returns the time by which [`Lead::tick`] should be called next.
     pub fn wake_at(&self) -> Moment {
         if self.dirty {
