--- /dev/null
+++ b/tests/overload.rs
@@ -0,0 +1,90 @@
+//! Load tests of a leader that is behind: it sends orders and handles replies late, or its
+//! planning rounds take long.
+
+#[path = "support/plane.rs"]
+mod support;
+
+use plantaincross::core::plane::job::StepSpec;
+use plantaincross::core::plane::plan::Queue;
+use plantaincross::core::plane::types::{JobId, Resources};
+use support::{Cell, queue, tasks};
+
+const WORKERS: usize = 60;
+const TASKS: u16 = 4;
+/// Run time of each task.
+const TASK_MS: u64 = 600;
+/// Time in which a job is to be done: one and a half run times and 250 ms.
+const GOAL_MS: u64 = 1_150;
+
+fn urgent() -> Queue {
+    queue("urgent", 0, None)
+}
+
+fn cell(seed: u64) -> Cell {
+    let mut cell = Cell::new(seed, WORKERS, vec![urgent()], Resources::default());
+    cell.run_for(100);
+    cell
+}
+
+fn job(id: u64) -> Vec<StepSpec> {
+    vec![StepSpec {
+        gang: id.is_multiple_of(3),
+        ..tasks(TASKS, 4, TASK_MS)
+    }]
+}
+
+// Submits `count` jobs at intervals of `every_ms`.
+fn submit_jobs(cell: &mut Cell, first: u64, count: u64, every_ms: u64) -> Vec<(JobId, u64)> {
+    let mut sent = Vec::new();
+    for id in first..first + count {
+        sent.push((JobId(id), cell.now));
+        cell.submit("urgent", id, job(id), TASK_MS);
+        cell.run_for(every_ms);
+    }
+    sent
+}
+
+fn share_in_time(cell: &Cell, sent: &[(JobId, u64)]) -> f64 {
+    let is_in_time = |(id, at): &&(JobId, u64)| {
+        cell.completed
+            .get(id)
+            .is_some_and(|done| done - at <= GOAL_MS)
+    };
+    sent.iter().filter(is_in_time).count() as f64 / sent.len() as f64
+}
+
+fn assert_each_task_runs_once(seed: u64, delay_ms: u64) {
+    const JOBS: u64 = 150;
+    let mut cell = cell(seed);
+    cell.leader_delay_ms = delay_ms;
+    submit_jobs(&mut cell, 1, JOBS, 30);
+    cell.run_for(8_000);
+    let starts: u64 = cell.workers.iter().map(|w| w.starts).sum();
+    assert_eq!(cell.stops, 0, "runs stopped on workers that answer");
+    assert_eq!(starts, JOBS * u64::from(TASKS), "starts of all tasks");
+    assert!(cell.unfinished().is_empty());
+}
+
+macro_rules! delays {
+    ($($name:ident: $seed:expr, $delay_ms:expr;)*) => {
+        $(#[test] fn $name() { assert_each_task_runs_once($seed, $delay_ms); })*
+    };
+}
+
+delays! {
+    a_leader_that_is_150_ms_behind_stops_no_run_it_has_just_started: 1, 150;
+    a_leader_that_is_250_ms_behind_stops_no_run_it_has_just_started: 2, 250;
+}
+
+#[test]
+fn slow_planning_rounds_do_not_hold_up_inputs() {
+    let mut cell = cell(3);
+    cell.round_ms = 12;
+    let sent = submit_jobs(&mut cell, 1, 300, 12);
+    cell.run_for(4_000);
+    let in_time = share_in_time(&cell, &sent);
+    assert!(
+        in_time >= 0.95,
+        "{in_time:.2} of the jobs are in time while a planning round takes 12 ms"
+    );
+}
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -119,6 +119,13 @@
     Timeout(u64),
     Commit(u64, Box<Command>, Vec<(Call, Answer)>),
     Permit(u64, u64, Permission),
+    Query(u64, Box<Query>),
+}
+
+impl Event {
+    fn is_input(&self) -> bool {
+        !matches!(self, Self::Arrive(..) | Self::Inspect(..))
+    }
 }
 
 /// Rates of injected faults.
@@ -141,6 +148,15 @@
     pub faults: Faults,
     /// Whether connections to unreachable workers fail at once.
     pub refuses_connections: bool,
+    /// Maximum time, in milliseconds, by which the leader sends an order after its decision.
+    /// It handles each input that much later than the input arrives.
+    pub leader_delay_ms: u64,
+    /// Time that each planning round takes, in which the leader handles nothing else.
+    pub round_ms: u64,
+    /// Time until which the leader is busy with a planning round.
+    leader_busy_until: u64,
+    /// Number of planning rounds in all terms.
+    pub rounds: u64,
     pub answers: BTreeMap<u64, Answer>,
     /// Time at which each job was first seen as completed.
     pub completed: BTreeMap<JobId, u64>,
@@ -214,6 +230,10 @@
             workers: Vec::new(),
             faults: Faults::default(),
             refuses_connections: false,
+            leader_delay_ms: 0,
+            round_ms: 0,
+            leader_busy_until: 0,
+            rounds: 0,
             answers: BTreeMap::new(),
             completed: BTreeMap::new(),
             permission_requests: 0,
@@ -354,13 +374,35 @@
         self.events.insert((self.now + after, self.sequence), event);
     }
 
+    // Schedules an input of the leader.
+    fn schedule_input(&mut self, after: u64, event: Event) {
+        self.schedule(after + self.leader_delay_ms, event);
+    }
+
+    // Has the leader decide. It is busy for as long as the planning rounds of this call take.
+    fn decide(&mut self, decide: impl FnOnce(&mut Lead, Now, &State) -> Vec<Effect>) {
+        let now = self.current_time();
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let rounds_before = lead.rounds();
+        let effects = decide(lead, now, &self.state);
+        let rounds = lead.rounds() - rounds_before;
+        if rounds > 0 {
+            self.rounds += rounds;
+            self.leader_busy_until = self.now + rounds * self.round_ms;
+        }
+        self.apply_effects(effects);
+    }
+
     pub fn query(&mut self, query: Query) -> u64 {
         self.next_call += 1;
         let call = self.next_call;
-        let now = self.current_time();
-        if let Some(lead) = &mut self.lead {
-            let effects = lead.handle_query(now, &self.state, Call(call), query);
-            self.apply_effects(effects);
+        if self.now < self.leader_busy_until {
+            let after = self.leader_busy_until - self.now;
+            self.schedule(after, Event::Query(call, Box::new(query)));
+        } else {
+            self.decide(|lead, now, state| lead.handle_query(now, state, Call(call), query));
         }
         call
     }
@@ -458,14 +500,14 @@
                 break;
             }
             let event = self.events.remove(&(at, sequence)).expect("first");
-            self.process_event(event);
+            if event.is_input() && self.now < self.leader_busy_until {
+                self.schedule(self.leader_busy_until - self.now, event);
+            } else {
+                self.process_event(event);
+            }
         }
-        let now = self.current_time();
-        if let Some(lead) = &mut self.lead
-            && self.now.is_multiple_of(5)
-        {
-            let effects = lead.tick(now, &self.state);
-            self.apply_effects(effects);
+        if self.now.is_multiple_of(5) && self.now >= self.leader_busy_until {
+            self.decide(|lead, now, state| lead.tick(now, state));
         }
         self.check();
     }
@@ -481,7 +523,7 @@
             match effect {
                 Effect::Propose(command, answers) => {
                     let event = Event::Commit(self.term, Box::new(command), answers);
-                    self.schedule(COMMIT_MS, event);
+                    self.schedule_input(COMMIT_MS, event);
                 }
                 Effect::Answer(call, answer) => {
                     self.answers.insert(call.0, answer);
@@ -499,13 +541,13 @@
         let key = order.number + (order.fence << 40);
         self.open.insert(key);
         let timeout = order.timeout.as_millis() as u64;
-        self.schedule(timeout, Event::Timeout(key));
+        self.schedule_input(timeout, Event::Timeout(key));
         let at = self
             .workers
             .iter()
             .position(|w| w.report.address == order.address);
         if self.refuses_connections && at.is_some_and(|at| !self.reaches(at)) {
-            self.schedule(NETWORK_DELAY_MS, Event::Answer(key, Reply::NotSent));
+            self.schedule_input(NETWORK_DELAY_MS, Event::Answer(key, Reply::NotSent));
             return;
         }
         let mut incarnation = None;
@@ -515,7 +557,7 @@
         }
         let delay = if self.rng.random_ratio(delayed_per_mille.min(1_000), 1_000) {
             self.open.remove(&key);
-            self.schedule(timeout, Event::Answer(key, Reply::NoAnswer));
+            self.schedule_input(timeout, Event::Answer(key, Reply::NoAnswer));
             self.open.insert(key);
             // An order does not name the incarnation that it is meant for. Had a delayed
             // order reached a later incarnation, no leader could prevent the harm, so it
@@ -523,7 +565,7 @@
             incarnation = current_incarnation(&self.state, &order.worker);
             self.rng.random_range(2_000..12_000)
         } else {
-            NETWORK_DELAY_MS
+            NETWORK_DELAY_MS + self.sending_delay()
         };
         if let Some(at) = at {
             self.schedule(
@@ -533,6 +575,14 @@
         }
     }
 
+    // Draws the time after which an order is sent; orders may overtake each other.
+    fn sending_delay(&mut self) -> u64 {
+        if self.leader_delay_ms == 0 {
+            return 0;
+        }
+        self.rng.random_range(0..=self.leader_delay_ms)
+    }
+
     fn record_note(&mut self, note: Note) {
         match note {
             Note::Ended { worker, .. } => {
@@ -575,7 +625,7 @@
             .collect();
         let after = free - self.now + 2 * NETWORK_DELAY_MS;
         let event = Event::Permit(self.term, request.number, Permission::Granted(granted));
-        self.schedule(after, event);
+        self.schedule_input(after, event);
     }
 
     fn cost(&self, request: &PermissionRequest) -> u64 {
@@ -586,7 +636,6 @@
     }
 
     fn process_event(&mut self, event: Event) {
-        let now = self.current_time();
         match event {
             Event::Arrive(order, at, incarnation) => {
                 let at = at as usize;
@@ -604,10 +653,7 @@
                     return;
                 }
                 let number = key & ((1 << 40) - 1);
-                if let Some(lead) = &mut self.lead {
-                    let effects = lead.handle_reply(now, &self.state, number, reply);
-                    self.apply_effects(effects);
-                }
+                self.decide(|lead, now, state| lead.handle_reply(now, state, number, reply));
             }
             Event::Timeout(key) => self.process_event(Event::Answer(key, Reply::NoAnswer)),
             Event::Commit(term, command, answers) => {
@@ -617,21 +663,20 @@
                 for (call, answer) in answers {
                     self.answers.insert(call.0, answer);
                 }
-                if term == self.term
-                    && let Some(lead) = &mut self.lead
-                {
-                    let effects = lead.handle_applied(now, &self.state, &command);
-                    self.apply_effects(effects);
+                if term == self.term {
+                    self.decide(|lead, now, state| lead.handle_applied(now, state, &command));
                 }
             }
             Event::Permit(term, number, permission) => {
-                if term == self.term
-                    && let Some(lead) = &mut self.lead
-                {
-                    let effects = lead.handle_permission(now, &self.state, number, permission);
-                    self.apply_effects(effects);
+                if term == self.term {
+                    self.decide(|lead, now, state| {
+                        lead.handle_permission(now, state, number, permission)
+                    });
                 }
             }
+            Event::Query(call, query) => {
+                self.decide(|lead, now, state| lead.handle_query(now, state, Call(call), *query));
+            }
         }
     }
 
@@ -659,7 +704,7 @@
             return;
         }
         let key = order.number + (order.fence << 40);
-        self.schedule(NETWORK_DELAY_MS, Event::Answer(key, reply));
+        self.schedule_input(NETWORK_DELAY_MS, Event::Answer(key, reply));
     }
 
     fn arrive(&mut self, order: &Order, at: usize, is_late: bool) {
