Do not take the leader's own delay for silence of workers

What callers saw: too little of a class served on a fleet of 1,100 workers; runs of accepted jobs stopped, gangs broken and started again, until the leader lost its leadership.

Cause: since a start is looked for and stopped when its reply is overdue by 100 ms on the leader's clock, and since workers and zones that owe a reply for 100 ms get no starts. A leader that is itself 100 ms behind has not sent the order or not read the reply, so it stops what it has just started, has to start it again, and is further behind.

Fix: the leader counts silence only up to the time by which it has caught up. A timer that waits for the processor like any reply tells its delay; five times that is allowed for an exchange with a worker. While the timer itself is not handled, nothing becomes overdue. Leases still expire by the clock.

Ruled out: workers that do not answer (order_lost was 0), timeouts of orders.

--- a/src/cell/control/load.rs
+++ b/src/cell/control/load.rs
@@ -6,7 +6,7 @@
 use crate::core::time::Moment;
 
 /// Interval of the timers whose delay is measured.
-pub(super) const DELAY_TIMER_INTERVAL: Duration = Duration::from_millis(50);
+pub(super) const DELAY_TIMER_INTERVAL: Duration = Duration::from_millis(25);
 /// Interval of the log lines on the load.
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
 
--- a/src/cell/control/mod.rs
+++ b/src/cell/control/mod.rs
@@ -561,7 +561,11 @@
         if self.lead.is_none() {
             return;
         }
-        let delay = self.clock.now().since(expired_at);
+        let now = self.now();
+        if let Some((_, lead)) = &mut self.lead {
+            lead.handle_delay_timer(now, expired_at);
+        }
+        let delay = now.at.since(expired_at);
         self.load.record_delay(delay);
         Metrics::observe(&self.metrics.leader_delay_seconds, delay);
     }
--- a/src/core/plane/lead/channel.rs
+++ b/src/core/plane/lead/channel.rs
@@ -305,10 +305,10 @@
     }
 
     /// Returns the orders whose replies have become overdue since the last call.
-    pub fn take_overdue(&mut self, now: Moment) -> Vec<u64> {
+    pub fn take_overdue(&mut self, caught_up_to: Moment) -> Vec<u64> {
         let mut overdue = Vec::new();
         for (&number, reply) in &mut self.awaited_replies {
-            if !reply.is_overdue && now.since(reply.due_at) >= REPLY_OVERDUE_MAX {
+            if !reply.is_overdue && caught_up_to.since(reply.due_at) >= REPLY_OVERDUE_MAX {
                 reply.is_overdue = true;
                 overdue.push(number);
             }
@@ -334,38 +334,38 @@
     }
 
     /// Returns whether a reply is overdue.
-    pub fn is_silent(&self, now: Moment) -> bool {
+    pub fn is_silent(&self, caught_up_to: Moment) -> bool {
         self.silent_since()
-            .is_some_and(|since| now.since(since) >= REPLY_OVERDUE_MAX)
+            .is_some_and(|since| caught_up_to.since(since) >= REPLY_OVERDUE_MAX)
     }
 
     /// Returns whether an order has been unanswered for longer than [`UNRESPONSIVE_AFTER`].
-    pub fn is_unresponsive(&self, now: Moment) -> bool {
+    pub fn is_unresponsive(&self, caught_up_to: Moment) -> bool {
         self.unanswered_since
-            .is_some_and(|at| now.since(at) > UNRESPONSIVE_AFTER)
+            .is_some_and(|at| caught_up_to.since(at) > UNRESPONSIVE_AFTER)
     }
 
     /// Returns whether the worker has neither answered nor reported for `limit`.
-    pub fn is_out_of_contact(&self, now: Moment, limit: Duration) -> bool {
-        now.since(self.heard_at.max(self.reported_at)) >= limit
+    pub fn is_out_of_contact(&self, caught_up_to: Moment, limit: Duration) -> bool {
+        caught_up_to.since(self.heard_at.max(self.reported_at)) >= limit
     }
 
     /// Returns whether the worker should be inspected to find out whether it is still
     /// alive.
-    pub fn needs_inspection(&self, now: Moment) -> bool {
-        self.is_out_of_contact(now, CONTACT_TIMEOUT / 2)
+    pub fn needs_inspection(&self, caught_up_to: Moment) -> bool {
+        self.is_out_of_contact(caught_up_to, CONTACT_TIMEOUT / 2)
     }
 
     /// Returns whether the worker may get new runs. Runs that the replicated state does
     /// not count for the worker take up part of its capacity.
-    pub fn is_usable(&self, now: Moment) -> bool {
+    pub fn is_usable(&self, now: Moment, caught_up_to: Moment) -> bool {
         self.adopted
             && self.inherited == 0
             && self.unexpected == 0
             && self.unanswered_since.is_none()
-            && !self.is_silent(now)
+            && !self.is_silent(caught_up_to)
             && self.departing.is_none()
-            && !self.is_out_of_contact(now, CONTACT_TIMEOUT)
+            && !self.is_out_of_contact(caught_up_to, CONTACT_TIMEOUT)
             && now >= self.excluded_until
             && (self.failures(now) < FAILURE_SCORE_MAX || self.live.is_empty())
     }
--- a/src/core/plane/lead/inspect.rs
+++ b/src/core/plane/lead/inspect.rs
@@ -20,9 +20,10 @@
     // Inspects a worker at once if a reply is overdue. An order that got lost, or that the
     // worker carries out late, is noticed in this way long before it times out.
     pub(super) fn probe_if_overdue(&mut self, now: Now, state: &State, key: WorkerKey) {
+        let caught_up_to = self.caught_up_to;
         let channel = self.channels.get_mut(&key).expect("known worker");
         let mut needs_probe = false;
-        for number in channel.take_overdue(now.at) {
+        for number in channel.take_overdue(caught_up_to) {
             let Some(sent) = self.sent_orders.get(&number) else {
                 continue;
             };
@@ -63,10 +64,11 @@
     // Sends an inspection that the worker answers after `wait`, or earlier if a run ends.
     fn inspect_after(&mut self, now: Now, state: &State, key: WorkerKey, wait: Duration) -> u64 {
         let lease = self.bounds.max_lease;
+        let caught_up_to = self.caught_up_to;
         let channel = self.channels.get_mut(&key).expect("known worker");
         // An unresponsive worker may still receive orders. Its lease is not renewed, so
         // that its runs expire and can start elsewhere.
-        let until = if channel.is_unresponsive(now.at) || channel.live().is_empty() {
+        let until = if channel.is_unresponsive(caught_up_to) || channel.live().is_empty() {
             None
         } else {
             channel.lease_end(now.at, lease)
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -68,11 +68,19 @@
 /// Weight of the latest run in the moving average of run times relative to estimates.
 const ESTIMATE_WEIGHT: f64 = 0.1;
 
+/// Bound on the time from sending an order to handling its reply on a leader that is behind, as
+/// a multiple of the delay of a timer. An order and its reply wait for the processor five
+/// times, a timer once or twice.
+const EXCHANGE_DELAY_FACTOR: u32 = 5;
+
 /// Leader of the task plane for one term.
 #[derive(Debug)]
 pub struct Lead {
     fence: u64,
     since: Moment,
+    /// Time up to which the leader has handled what it would have received without a delay of
+    /// its own. Silence is counted up to this time.
+    caught_up_to: Moment,
     bounds: Bounds,
     channels: BTreeMap<WorkerKey, Channel>,
     /// Tasks with the workers that may have a run of them, ordered by task.
@@ -121,6 +129,7 @@
         let mut lead = Self {
             fence,
             since: now.at,
+            caught_up_to: now.at,
             bounds,
             channels: BTreeMap::new(),
             assignments: BTreeSet::new(),
@@ -212,6 +221,14 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Handles the expiry of a timer that waits for the processor like any other input. While
+    /// the leader is behind, its workers are not considered silent.
+    pub fn handle_delay_timer(&mut self, now: Now, expired_at: Moment) {
+        let delay = now.at.since(expired_at);
+        let caught_up_to = now.at - delay * EXCHANGE_DELAY_FACTOR;
+        self.caught_up_to = self.caught_up_to.max(caught_up_to);
+    }
+
     /// Handles a query.
     pub fn handle_query(
         &mut self,
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -168,14 +168,17 @@
         let urgent: i64 = self.channels.values().map(|c| c.urgent_cpu).sum();
         self.urgent_cpu_peak =
             (self.urgent_cpu_peak * (1.0 - URGENT_DECAY_PER_ROUND)).max(urgent as f64);
-        self.update_silent_zones(now);
+        self.update_silent_zones();
         let mut targets = Targets::default();
         for (&key, channel) in &self.channels {
             let worker = state.worker(key);
             if self.silent_zones.contains(&channel.zone) {
                 continue;
             }
-            if worker.departed || worker.report.draining || !channel.is_usable(now.at) {
+            if worker.departed
+                || worker.report.draining
+                || !channel.is_usable(now.at, self.caught_up_to)
+            {
                 continue;
             }
             let capacity = worker.report.capacity;
--- a/src/core/plane/lead/silence.rs
+++ b/src/core/plane/lead/silence.rs
@@ -6,8 +6,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::Lead;
 use super::io::Note;
-use super::{Lead, Now};
 use crate::core::time::Moment;
 
 /// Minimum number of silent workers in a zone for the whole zone to count as silent, so
@@ -17,7 +17,7 @@
 impl Lead {
     /// Updates the availability zones that are silent: several of their workers owe a
     /// reply, and no worker has answered or reported since.
-    pub(super) fn update_silent_zones(&mut self, now: Now) {
+    pub(super) fn update_silent_zones(&mut self) {
         let mut latest_contact: BTreeMap<u32, Moment> = BTreeMap::new();
         for channel in self.channels.values() {
             let latest = latest_contact.entry(channel.zone).or_default();
@@ -28,7 +28,7 @@
             let is_latest = channel
                 .silent_since()
                 .is_some_and(|since| since >= latest_contact[&channel.zone]);
-            if is_latest && channel.is_silent(now.at) {
+            if is_latest && channel.is_silent(self.caught_up_to) {
                 *silent_workers.entry(channel.zone).or_default() += 1;
             }
         }
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -61,7 +61,8 @@
             self.probe_if_overdue(now, state, key);
             let channel = self.channels.get_mut(&key).expect("not removed above");
             let is_due = now.at >= channel.inspect_at
-                || channel.unanswered_since.is_none() && channel.needs_inspection(now.at);
+                || channel.unanswered_since.is_none()
+                    && channel.needs_inspection(self.caught_up_to);
             // An unreachable worker is inspected at short intervals, so that it is heard as
             // soon as it can be reached.
             let may_inspect = channel.inspection.is_none() || channel.unanswered_since.is_some();
--- a/src/core/time.rs
+++ b/src/core/time.rs
@@ -40,6 +40,15 @@
     }
 }
 
+impl std::ops::Sub<Duration> for Moment {
+    type Output = Self;
+
+    fn sub(self, rhs: Duration) -> Self {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
 /// Maximum difference in rate between any two clocks of the cell, as a divisor: 100
 /// means 1 %.
 const CLOCK_RATE_DIVISOR: u32 = 100;
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -24,6 +24,8 @@
 const COMMIT_MS: u64 = 12;
 /// One-way network delay.
 const NETWORK_DELAY_MS: u64 = 2;
+/// Interval of the timers that tell the leader its delay.
+const DELAY_TIMER_INTERVAL_MS: u64 = 25;
 /// Clock reading at the start of the simulation.
 const START_MS: u64 = 5_000_000;
 /// Initial number of instances that can query the permission service.
@@ -120,6 +122,8 @@
     Commit(u64, Box<Command>, Vec<(Call, Answer)>),
     Permit(u64, u64, Permission),
     Query(u64, Box<Query>),
+    /// Expiry of the timer that tells the leader its delay.
+    DelayTimer(u64),
 }
 
 impl Event {
@@ -494,6 +498,9 @@
 
     pub fn step(&mut self) {
         self.now += 1;
+        if self.now.is_multiple_of(DELAY_TIMER_INTERVAL_MS) {
+            self.schedule_input(0, Event::DelayTimer(self.now));
+        }
         self.run_workers();
         while let Some((&(at, sequence), _)) = self.events.first_key_value() {
             if at > self.now {
@@ -674,6 +681,12 @@
                     });
                 }
             }
+            Event::DelayTimer(expired_at) => {
+                let now = self.current_time();
+                if let Some(lead) = &mut self.lead {
+                    lead.handle_delay_timer(now, Moment::from_millis(expired_at));
+                }
+            }
             Event::Query(call, query) => {
                 self.decide(|lead, now, state| lead.handle_query(now, state, Call(call), *query));
             }
