Let inputs share a planning round, and pace rounds by the time they take

What callers saw: the leader stopped answering for seconds and another one was elected, with the same backlog.

Cause: each handled input planned a round if one was due, and the pause between rounds was counted from the start of a round by an assumed speed.

Fix: planning is a step of its own after the queued inputs, and the pause after a round is at least four times what the round took, counted from its end. The leader's delay timer now runs only while the instance leads, each 10 ms.

The simulation calls the same steps: it handles an input, then plans if a round is due.

--- a/src/cell/control/load.rs
+++ b/src/cell/control/load.rs
@@ -6,7 +6,7 @@
 use crate::core::time::Moment;
 
 /// Interval of the timers whose delay is measured.
-pub(super) const DELAY_TIMER_INTERVAL: Duration = Duration::from_millis(25);
+pub(super) const DELAY_TIMER_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval of the log lines on the load.
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -47,10 +47,10 @@
         self.busy += busy;
     }
 
-    /// Records planning rounds.
-    pub(super) fn record_planning(&mut self, took: Duration, rounds: u64) {
+    /// Records a planning round.
+    pub(super) fn record_round(&mut self, took: Duration) {
         self.planning += took;
-        self.rounds += rounds;
+        self.rounds += 1;
     }
 
     /// Records a check of all workers for what is due.
--- a/src/cell/control/mod.rs
+++ b/src/cell/control/mod.rs
@@ -58,8 +58,9 @@
 /// request was made and the number of the order or permission request.
 #[derive(Debug)]
 enum TaskResult {
-    /// A timer that expired at this time. Its delay is that of any other input.
-    DelayTimer(Moment),
+    /// A timer of the leader of this term that expired at this time. Its delay is that of any
+    /// other input.
+    DelayTimer(u64, Moment),
     Reply(u64, u64, Reply),
     Permission(u64, u64, Permission),
 }
@@ -219,24 +220,10 @@
         results: results_in,
         completions: completions_in,
     };
-    tokio::spawn(send_delay_timers(clock, control.results.clone()));
     tokio::spawn(control.run(inboxes));
     Ok(handle)
 }
 
-// Sends the expiry of a timer on the way that replies of workers take, until the event loop
-// ends.
-async fn send_delay_timers(clock: Clock, results: mpsc::Sender<TaskResult>) {
-    loop {
-        let expires_at = clock.now() + DELAY_TIMER_INTERVAL;
-        sleep(DELAY_TIMER_INTERVAL).await;
-        let timer = TaskResult::DelayTimer(expires_at);
-        if results.send(timer).await.is_err() {
-            return;
-        }
-    }
-}
-
 fn decode_state(data: &[u8]) -> Result<State> {
     codec::decode(data).map_err(|err| {
         let message = format!("state in the stored snapshot cannot be decoded: {err}");
@@ -325,6 +312,7 @@
         let began = self.clock.now();
         self.decide(|lead, now, state| lead.tick(now, state));
         self.load.record_tick(self.clock.now().since(began));
+        self.plan();
     }
 
     // Has the leader decide, if this instance leads, and carries out what it decided.
@@ -333,14 +321,23 @@
         let Some((_, lead)) = &mut self.lead else {
             return;
         };
-        let rounds_before = lead.rounds();
         let effects = decide(lead, now, &self.state);
-        let rounds = lead.rounds() - rounds_before;
-        if rounds > 0 {
-            let took = self.clock.now().since(now.at);
-            self.load.record_planning(took, rounds);
-            Metrics::observe(&self.metrics.planning_seconds, took);
-        }
+        self.execute(effects);
+    }
+
+    fn plan(&mut self) {
+        let now = self.now();
+        let Some((_, lead)) = &mut self.lead else {
+            return;
+        };
+        let Some(effects) = lead.plan_if_due(now, &self.state) else {
+            return;
+        };
+        let end = self.clock.now();
+        lead.end_round(end);
+        let took = end.since(now.at);
+        self.load.record_round(took);
+        Metrics::observe(&self.metrics.planning_seconds, took);
         self.execute(effects);
     }
 
@@ -487,6 +484,7 @@
         self.lead = Some((term, lead));
         self.load = load::Load::starting(self.clock.now());
         self.next_leader_heartbeat_at = Moment::ZERO;
+        self.start_delay_timer(term);
     }
 
     fn stop_leading(&mut self) {
@@ -543,7 +541,10 @@
         self.load.record_input();
         let led_term = self.lead.as_ref().map(|(term, _)| *term);
         match result {
-            TaskResult::DelayTimer(expired_at) => self.record_delay(expired_at),
+            TaskResult::DelayTimer(term, expired_at) if led_term == Some(term) => {
+                self.record_delay(expired_at);
+                self.start_delay_timer(term);
+            }
             TaskResult::Reply(term, number, reply) if led_term == Some(term) => {
                 self.decide(|lead, now, state| lead.handle_reply(now, state, number, reply));
             }
@@ -553,14 +554,22 @@
                 });
             }
             // The request was made in an earlier term of this instance.
-            TaskResult::Reply(..) | TaskResult::Permission(..) => {}
+            TaskResult::DelayTimer(..) | TaskResult::Reply(..) | TaskResult::Permission(..) => {}
         }
     }
 
+    // Starts a timer whose expiry takes the same way as a worker's reply.
+    fn start_delay_timer(&self, term: u64) {
+        let expires_at = self.clock.now() + DELAY_TIMER_INTERVAL;
+        let results = self.results.clone();
+        tokio::spawn(async move {
+            sleep(DELAY_TIMER_INTERVAL).await;
+            // Sending fails during shutdown, when the loop ends before its tasks.
+            let _ = results.send(TaskResult::DelayTimer(term, expires_at)).await;
+        });
+    }
+
     fn record_delay(&mut self, expired_at: Moment) {
-        if self.lead.is_none() {
-            return;
-        }
         let now = self.now();
         if let Some((_, lead)) = &mut self.lead {
             lead.handle_delay_timer(now, expired_at);
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -60,9 +60,13 @@
 /// Minimum interval between planning rounds. Starts and ends of a round share one log
 /// entry, and a round costs about 100 us of processor time.
 const PLAN_INTERVAL_MIN: Duration = Duration::from_millis(4);
-/// Pause per worker or step examined in a round: about four times what that takes on a
-/// slow instance, so that planning takes at most a fifth of the processor time.
+/// Minimum pause per worker or step examined in a round.
 const PLAN_PAUSE_PER_ITEM: Duration = Duration::from_nanos(400);
+/// Minimum pause after a round as a multiple of the time that the round took, so that
+/// planning takes at most a fifth of the time however slow the instance is.
+const PLAN_PAUSE_FACTOR: u32 = 4;
+/// Maximum pause after a round that was interrupted, as by a suspension of the process.
+const PLAN_PAUSE_MAX: Duration = Duration::from_millis(400);
 /// Maximum interval between planning rounds, for changes that only depend on time.
 const PLAN_INTERVAL_MAX: Duration = Duration::from_millis(100);
 /// Weight of the latest run in the moving average of run times relative to estimates.
@@ -114,10 +118,9 @@
     urgent_cpu_peak: f64,
     /// Whether anything that planning depends on has changed since the latest round.
     dirty: bool,
+    /// Start of the planning round in progress, or end of the latest one.
     planned_at: Moment,
-    /// Number of planning rounds in this term.
-    rounds: u64,
-    /// Interval until the next planning round, from the work of the latest one.
+    /// Minimum pause after the latest planning round.
     plan_pause: Duration,
     effects: Vec<Effect>,
 }
@@ -152,7 +155,6 @@
             urgent_cpu_peak: 0.0,
             dirty: true,
             planned_at: Moment::ZERO,
-            rounds: 0,
             plan_pause: PLAN_INTERVAL_MIN,
             effects: Vec::new(),
         };
@@ -210,14 +212,13 @@
         self.permits.set_requesters(requesters);
     }
 
-    /// Performs everything that is due: inspections, stops, expiries and planning.
+    /// Performs everything that is due apart from planning: inspections, stops and expiries.
     pub fn tick(&mut self, now: Now, state: &State) -> Vec<Effect> {
         for completed in self.permits.expire(now.at) {
             self.note_permission(completed);
             self.dirty = true;
         }
         self.tick_workers(now, state);
-        self.plan_if_due(now, state);
         std::mem::take(&mut self.effects)
     }
 
@@ -238,7 +239,6 @@
         query: Query,
     ) -> Vec<Effect> {
         self.process_query(now, state, call, query);
-        self.plan_if_due(now, state);
         std::mem::take(&mut self.effects)
     }
 
@@ -251,7 +251,6 @@
         reply: Reply,
     ) -> Vec<Effect> {
         self.process_reply(now, state, number, reply);
-        self.plan_if_due(now, state);
         std::mem::take(&mut self.effects)
     }
 
@@ -275,7 +274,6 @@
             self.note_permission(completed);
             self.dirty = true;
         }
-        self.plan_if_due(now, state);
         std::mem::take(&mut self.effects)
     }
 
@@ -305,7 +303,6 @@
                 self.note_ended_jobs(state, *at_ms);
             }
         }
-        self.plan_if_due(now, state);
         std::mem::take(&mut self.effects)
     }
 
@@ -371,15 +368,14 @@
         });
     }
 
-    fn plan_if_due(&mut self, now: Now, state: &State) {
-        let elapsed = now.at.since(self.planned_at);
-        let is_due = self.dirty && elapsed >= self.plan_pause || elapsed >= PLAN_INTERVAL_MAX;
-        if !is_due {
-            return;
+    /// Plans a round if one is due. Inputs that arrive together share one round: the caller
+    /// handles them first. It reports the end of the round to [`Lead::end_round`].
+    pub fn plan_if_due(&mut self, now: Now, state: &State) -> Option<Vec<Effect>> {
+        if now.at < self.wake_at() {
+            return None;
         }
         self.dirty = false;
         self.planned_at = now.at;
-        self.rounds += 1;
         let (starts, examined) = self.plan(now, state);
         self.plan_pause =
             (PLAN_INTERVAL_MIN + PLAN_PAUSE_PER_ITEM * examined).min(PLAN_INTERVAL_MAX);
@@ -393,20 +389,26 @@
             };
             self.effects.push(Effect::Propose(command, Vec::new()));
         }
+        Some(std::mem::take(&mut self.effects))
     }
 
-    /// Returns the number of planning rounds in this term.
-    pub const fn rounds(&self) -> u64 {
-        self.rounds
+    /// Ends the planning round. The next one begins after a pause that is long enough to
+    /// handle the inputs that arrived meanwhile.
+    pub fn end_round(&mut self, now: Moment) {
+        let took = now.since(self.planned_at);
+        self.planned_at = now;
+        let pause = (took * PLAN_PAUSE_FACTOR).min(PLAN_PAUSE_MAX);
+        self.plan_pause = self.plan_pause.max(pause);
     }
 
-    /// Returns the time by which [`Lead::tick`] should be called next.
+    /// Returns the time by which [`Lead::plan_if_due`] should be called next.
     pub fn wake_at(&self) -> Moment {
-        if self.dirty {
-            self.planned_at + self.plan_pause
+        let pause = if self.dirty {
+            self.plan_pause
         } else {
-            self.planned_at + PLAN_INTERVAL_MAX
-        }
+            self.plan_pause.max(PLAN_INTERVAL_MAX)
+        };
+        self.planned_at + pause
     }
 
     fn update_ratio(&mut self, queue: &str, ratio: f64) {
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -25,7 +25,7 @@
 /// One-way network delay.
 const NETWORK_DELAY_MS: u64 = 2;
 /// Interval of the timers that tell the leader its delay.
-const DELAY_TIMER_INTERVAL_MS: u64 = 25;
+const DELAY_TIMER_INTERVAL_MS: u64 = 10;
 /// Clock reading at the start of the simulation.
 const START_MS: u64 = 5_000_000;
 /// Initial number of instances that can query the permission service.
@@ -159,8 +159,6 @@
     pub round_ms: u64,
     /// Time until which the leader is busy with a planning round.
     leader_busy_until: u64,
-    /// Number of planning rounds in all terms.
-    pub rounds: u64,
     pub answers: BTreeMap<u64, Answer>,
     /// Time at which each job was first seen as completed.
     pub completed: BTreeMap<JobId, u64>,
@@ -237,7 +235,6 @@
             leader_delay_ms: 0,
             round_ms: 0,
             leader_busy_until: 0,
-            rounds: 0,
             answers: BTreeMap::new(),
             completed: BTreeMap::new(),
             permission_requests: 0,
@@ -383,19 +380,28 @@
         self.schedule(after + self.leader_delay_ms, event);
     }
 
-    // Has the leader decide. It is busy for as long as the planning rounds of this call take.
+    // Has the leader handle one input, or what is due, and plan.
     fn decide(&mut self, decide: impl FnOnce(&mut Lead, Now, &State) -> Vec<Effect>) {
         let now = self.current_time();
         let Some(lead) = &mut self.lead else {
             return;
         };
-        let rounds_before = lead.rounds();
         let effects = decide(lead, now, &self.state);
-        let rounds = lead.rounds() - rounds_before;
-        if rounds > 0 {
-            self.rounds += rounds;
-            self.leader_busy_until = self.now + rounds * self.round_ms;
-        }
+        self.apply_effects(effects);
+        self.plan();
+    }
+
+    // Has the leader plan a round, if one is due. It is busy for as long as the round takes.
+    fn plan(&mut self) {
+        let now = self.current_time();
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let Some(effects) = lead.plan_if_due(now, &self.state) else {
+            return;
+        };
+        self.leader_busy_until = self.now + self.round_ms;
+        lead.end_round(Moment::from_millis(self.leader_busy_until));
         self.apply_effects(effects);
     }
 
