Do not repeat permission requests that the leader is late to read

Since a permission request that is overdue by 100 ms on the leader's clock is made again at another instance, whether or not the leader has read what arrived.

Evidence: a_leader_that_is_behind_does_not_repeat_permission_requests failed before: 450 requests for 150 steps by a leader that is 250 ms behind, 150 by one that is not.

Fix: requests are overdue, and time out, by the time up to which the leader has caught up.

--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -228,6 +228,7 @@
         let delay = now.at.since(expired_at);
         let caught_up_to = now.at - delay * EXCHANGE_DELAY_FACTOR;
         self.caught_up_to = self.caught_up_to.max(caught_up_to);
+        self.permits.set_caught_up_to(self.caught_up_to);
     }
 
     /// Handles a query.
--- a/src/core/plane/lead/permits.rs
+++ b/src/core/plane/lead/permits.rs
@@ -115,6 +115,9 @@
     steps: HashMap<StepName, StepPermits>,
     requesters: BTreeMap<InstanceId, Requester>,
     in_flight: HashMap<u64, InFlight>,
+    /// Time up to which the leader has handled what it would have received without a delay
+    /// of its own. Requests become overdue by this time.
+    caught_up_to: Moment,
 }
 
 /// Returns the number of workers to name in the first request of a step. Their cost is at
@@ -150,6 +153,11 @@
         }
     }
 
+    /// Sets the time up to which the leader has caught up.
+    pub fn set_caught_up_to(&mut self, at: Moment) {
+        self.caught_up_to = at;
+    }
+
     /// Returns the answers and requests of a step, if it has any.
     pub fn for_step(&self, step: StepName) -> Option<&StepPermits> {
         self.steps.get(&step)
@@ -172,21 +180,21 @@
     pub fn is_waiting(&self, now: Moment, step: StepName) -> bool {
         let step_permits = self.steps.get(&step);
         step_permits.is_some_and(|step_permits| {
-            step_permits.in_flight > 0 && self.has_timely_request(now, step)
+            step_permits.in_flight > 0 && self.has_timely_request(step)
                 || now < step_permits.retry_at
         })
     }
 
-    fn has_timely_request(&self, now: Moment, step: StepName) -> bool {
+    fn has_timely_request(&self, step: StepName) -> bool {
         self.in_flight
             .values()
-            .any(|request| request.step == step && now < request.overdue_at)
+            .any(|request| request.step == step && self.caught_up_to < request.overdue_at)
     }
 
-    fn has_overdue_request(&self, now: Moment, requester: InstanceId) -> bool {
-        self.in_flight
-            .values()
-            .any(|request| request.requester == requester && now >= request.overdue_at)
+    fn has_overdue_request(&self, requester: InstanceId) -> bool {
+        self.in_flight.values().any(|request| {
+            request.requester == requester && self.caught_up_to >= request.overdue_at
+        })
     }
 
     /// Returns the workers for which the step has a permit that is valid at `now`.
@@ -299,13 +307,13 @@
         if is_slow {
             let idle = self
                 .slow_requesters()
-                .find(|(id, r)| r.is_idle(now) && !self.has_overdue_request(now, **id));
+                .find(|(id, r)| r.is_idle(now) && !self.has_overdue_request(**id));
             return idle.map(|(&id, _)| id);
         }
         let (&id, requester) = self
             .requesters
             .iter()
-            .filter(|(id, _)| !self.has_overdue_request(now, **id))
+            .filter(|(id, _)| !self.has_overdue_request(**id))
             .min_by_key(|(_, r)| (r.busy_until.max(now), r.slow_in_flight))?;
         (requester.busy_until <= now + QUEUEING_DELAY_MAX).then_some(id)
     }
@@ -367,7 +375,7 @@
         let timed_out: Vec<u64> = self
             .in_flight
             .iter()
-            .filter(|(_, request)| now >= request.times_out_at)
+            .filter(|(_, request)| self.caught_up_to >= request.times_out_at)
             .map(|(&number, _)| number)
             .collect();
         timed_out
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use plantaincross::core::plane::job::StepSpec;
-use plantaincross::core::plane::plan::Queue;
+use plantaincross::core::plane::plan::{Permission, Queue};
 use plantaincross::core::plane::types::{JobId, Resources};
 use support::{Cell, queue, tasks};
 
@@ -20,12 +20,16 @@
     queue("urgent", 0, None)
 }
 
-fn cell(seed: u64) -> Cell {
-    let mut cell = Cell::new(seed, WORKERS, vec![urgent()], Resources::default());
+fn cell_with(seed: u64, queue: Queue) -> Cell {
+    let mut cell = Cell::new(seed, WORKERS, vec![queue], Resources::default());
     cell.run_for(100);
     cell
 }
 
+fn cell(seed: u64) -> Cell {
+    cell_with(seed, urgent())
+}
+
 fn job(id: u64) -> Vec<StepSpec> {
     vec![StepSpec {
         gang: id.is_multiple_of(3),
@@ -76,6 +80,35 @@
     a_leader_that_is_250_ms_behind_stops_no_run_it_has_just_started: 2, 250;
 }
 
+// Returns the number of permission requests for 150 jobs.
+fn permission_requests(seed: u64, delay_ms: u64) -> u64 {
+    let permission = Permission {
+        decide_ms: 9.0,
+        each_ms: 0.1,
+        valid_ms: 10_000,
+    };
+    let queue = Queue {
+        permission: Some(permission),
+        ..urgent()
+    };
+    let mut cell = cell_with(seed, queue);
+    cell.leader_delay_ms = delay_ms;
+    submit_jobs(&mut cell, 1, 150, 60);
+    cell.run_for(4_000);
+    assert!(cell.unfinished().is_empty());
+    cell.permission_requests
+}
+
+#[test]
+fn a_leader_that_is_behind_does_not_repeat_permission_requests() {
+    let on_time = permission_requests(4, 0);
+    let behind = permission_requests(4, 250);
+    assert!(
+        behind <= on_time,
+        "{behind} permission requests by a leader that is behind, {on_time} by one that is not"
+    );
+}
+
 #[test]
 fn slow_planning_rounds_do_not_hold_up_inputs() {
     let mut cell = cell(3);
