Pace planning rounds from their start, at three times their length

Cause: with a pause of four times a round's length after its end, rounds of 9 ms come each 45 ms instead of each 28 ms, and short jobs wait for them.

A round still takes at most a third of the time.

--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -62,13 +62,13 @@
 /// Minimum interval between planning rounds. Starts and ends of a round share one log
 /// entry, and a round costs about 100 us of processor time.
 const PLAN_INTERVAL_MIN: Duration = Duration::from_millis(4);
-/// Minimum pause per worker or step examined in a round.
-const PLAN_PAUSE_PER_ITEM: Duration = Duration::from_nanos(400);
-/// Minimum pause after a round as a multiple of the time that the round took, so that
-/// planning takes at most a fifth of the time however slow the instance is.
-const PLAN_PAUSE_FACTOR: u32 = 4;
-/// Maximum pause after a round that was interrupted, as by a suspension of the process.
-const PLAN_PAUSE_MAX: Duration = Duration::from_millis(400);
+/// Time added to the interval for each worker or step examined in a round.
+const PLAN_INTERVAL_PER_ITEM: Duration = Duration::from_nanos(400);
+/// Minimum interval between planning rounds as a multiple of the time that a round took, so
+/// that planning takes at most a third of the time however slow the instance is.
+const PLAN_INTERVAL_FACTOR: u32 = 3;
+/// Maximum interval after a round that took long, as when the process was suspended in it.
+const SLOW_PLAN_INTERVAL_MAX: Duration = Duration::from_millis(400);
 /// Maximum interval between planning rounds, for changes that only depend on time.
 const PLAN_INTERVAL_MAX: Duration = Duration::from_millis(100);
 /// Weight of the latest run in the moving average of run times relative to estimates.
@@ -123,10 +123,10 @@
     urgent_cpu_peak: f64,
     /// Whether anything that planning depends on has changed since the latest round.
     dirty: bool,
-    /// Start of the planning round in progress, or end of the latest one.
+    /// Start of the latest planning round.
     planned_at: Moment,
-    /// Minimum pause after the latest planning round.
-    plan_pause: Duration,
+    /// Minimum interval until the next planning round.
+    plan_interval: Duration,
     effects: Vec<Effect>,
 }
 
@@ -162,7 +162,7 @@
             urgent_cpu_peak: 0.0,
             dirty: true,
             planned_at: Moment::ZERO,
-            plan_pause: PLAN_INTERVAL_MIN,
+            plan_interval: PLAN_INTERVAL_MIN,
             effects: Vec::new(),
         };
         for (key, worker) in (0..).map(WorkerKey).zip(&state.workers) {
@@ -393,8 +393,8 @@
         self.dirty = false;
         self.planned_at = now.at;
         let (starts, examined) = self.plan(now, state);
-        self.plan_pause =
-            (PLAN_INTERVAL_MIN + PLAN_PAUSE_PER_ITEM * examined).min(PLAN_INTERVAL_MAX);
+        self.plan_interval =
+            (PLAN_INTERVAL_MIN + PLAN_INTERVAL_PER_ITEM * examined).min(PLAN_INTERVAL_MAX);
         let ends = std::mem::take(&mut self.ends);
         if !starts.is_empty() || !ends.is_empty() {
             let at_ms = now.wall_ms;
@@ -408,13 +408,12 @@
         Some(std::mem::take(&mut self.effects))
     }
 
-    /// Ends the planning round. The next one begins after a pause that is long enough to
-    /// handle the inputs that arrived meanwhile.
+    /// Ends the planning round. The next one begins late enough to handle the inputs that
+    /// arrived meanwhile.
     pub fn end_round(&mut self, now: Moment) {
         let took = now.since(self.planned_at);
-        self.planned_at = now;
-        let pause = (took * PLAN_PAUSE_FACTOR).min(PLAN_PAUSE_MAX);
-        self.plan_pause = self.plan_pause.max(pause);
+        let interval = (took * PLAN_INTERVAL_FACTOR).min(SLOW_PLAN_INTERVAL_MAX);
+        self.plan_interval = self.plan_interval.max(interval);
     }
 
     /// Returns the time by which [`Lead::tick_if_due`] or [`Lead::plan_if_due`] should be called next.
@@ -428,12 +427,12 @@
     }
 
     fn plan_at(&self) -> Moment {
-        let pause = if self.dirty {
-            self.plan_pause
+        let interval = if self.dirty {
+            self.plan_interval
         } else {
-            self.plan_pause.max(PLAN_INTERVAL_MAX)
+            self.plan_interval.max(PLAN_INTERVAL_MAX)
         };
-        self.planned_at + pause
+        self.planned_at + interval
     }
 
     fn update_ratio(&mut self, queue: &str, ratio: f64) {
