Do not repeat stops that the leader is late to read

A stop without an answer for 400 ms by the leader's clock was sent again.

Evidence: a_leader_that_is_behind_does_not_repeat_stops failed before: 156 orders for 120 runs by a leader that is 300 ms behind.

Fix: the time without an answer counts up to where the leader has caught up.

--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -85,7 +85,9 @@
                 continue;
             }
             let unanswered = live.stopped_at.is_none()
-                && live.stop_at.is_some_and(|at| now.at.since(at) > STOP_RETRY);
+                && live
+                    .stop_at
+                    .is_some_and(|at| self.caught_up_to.since(at) > STOP_RETRY);
             if unanswered {
                 stops.push((task, live.run, "stop order unanswered"));
             } else if live.stop_at.is_some() {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -109,6 +109,20 @@
     );
 }
 
+#[test]
+fn a_leader_that_is_behind_does_not_repeat_stops() {
+    const JOBS: u64 = 30;
+    let mut cell = cell(5);
+    submit_jobs(&mut cell, 1, JOBS, 5);
+    cell.run_for(50);
+    cell.leader_delay_ms = 300;
+    for id in 1..=JOBS {
+        cell.cancel("urgent", id);
+    }
+    cell.run_for(3_000);
+    assert_eq!(cell.stop_orders, JOBS * u64::from(TASKS));
+}
+
 #[test]
 fn slow_planning_rounds_do_not_hold_up_inputs() {
     let mut cell = cell(3);
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -185,6 +185,8 @@
     pub waits: Vec<(u64, WaitReason)>,
     /// Number of runs that were stopped by an order.
     pub stops: u64,
+    /// Number of stop orders that the leader sent.
+    pub stop_orders: u64,
     /// Outcome in the log event of each ended job.
     pub job_outcomes: BTreeMap<String, Status>,
     events: BTreeMap<(u64, u64), Event>,
@@ -249,6 +251,7 @@
             started: BTreeSet::new(),
             waits: Vec::new(),
             stops: 0,
+            stop_orders: 0,
             job_outcomes: BTreeMap::new(),
             events: BTreeMap::new(),
             open: BTreeSet::new(),
@@ -604,6 +607,7 @@
             }
             Note::JobCompleted { job, .. } => self.record_job_outcome(&job, Status::Completed),
             Note::JobFailed { job, .. } => self.record_job_outcome(&job, Status::Failed),
+            Note::Stopping { .. } => self.stop_orders += 1,
             Note::StepWaits { reason, .. } => self.waits.push((self.now, reason)),
             _ => {}
         }
