--- a/src/cell/control/mod.rs
+++ b/src/cell/control/mod.rs
@@ -37,7 +37,7 @@
 use crate::net::{LinkEvent, Mesh};
 use crate::store::{Folder, Wal};
 use crate::wire::{Body, LeaderHeartbeat, Ping, Voter};
-use load::DELAY_TIMER_INTERVAL;
+use load::{DELAY_TIMER_INTERVAL, Load};
 
 /// Longest wait of the loop on a leader: the shortest interval of the leader's timers.
 const LEADER_LOOP_WAIT_MAX: Duration = Duration::from_millis(20);
@@ -95,7 +95,8 @@
     state: State,
     /// Term and state of the leader role while this instance has it.
     lead: Option<(u64, Lead)>,
-    load: load::Load,
+    /// Load of the event loop while this instance leads.
+    load: Load,
     peers: BTreeMap<InstanceId, Peer>,
     links: Links,
     calls: Calls,
@@ -195,7 +196,7 @@
         replica,
         state,
         lead: None,
-        load: load::Load::default(),
+        load: Load::default(),
         peers: BTreeMap::new(),
         links: Links::new(),
         calls: Calls::default(),
@@ -492,7 +493,7 @@
         let mut lead = Lead::new(self.now(), term, bounds, &self.state);
         lead.set_requesters(&self.requesters());
         self.lead = Some((term, lead));
-        self.load = load::Load::starting(self.clock.now());
+        self.load = Load::starting(self.clock.now());
         self.next_leader_heartbeat_at = Moment::ZERO;
         self.start_delay_timer(term);
     }
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -416,7 +416,8 @@
         self.plan_interval = self.plan_interval.max(interval);
     }
 
-    /// Returns the time by which [`Lead::tick_if_due`] or [`Lead::plan_if_due`] should be called next.
+    /// Returns the time by which [`Lead::tick_if_due`] or [`Lead::plan_if_due`] should be called
+    /// next.
     pub fn wake_at(&self) -> Moment {
         let plan_at = self.plan_at();
         if self.tick_pending {
