Plan after commands are applied, in the same iteration

Cause: planning as a step of its own came before the committed commands of the iteration were applied, so that a job just accepted waited for the next iteration, which on a leader that is full takes 20 to 45 ms.

--- a/src/cell/control/mod.rs
+++ b/src/cell/control/mod.rs
@@ -261,6 +261,10 @@
             self.handle_queued_inputs(&mut inboxes);
             self.tick();
             self.process_ready();
+            // Planning follows the commands just applied, and its proposal is sent at once.
+            if self.plan() {
+                self.process_ready();
+            }
             let end = self.clock.now();
             busy = end.since(last);
             self.load.record_iteration(busy);
@@ -311,7 +315,6 @@
         self.review_voters(now);
         self.update_leadership(now);
         self.tick_lead();
-        self.plan();
     }
 
     // Has the leader decide, if this instance leads, and carries out what it decided.
@@ -336,13 +339,14 @@
         self.load.record_tick(self.clock.now().since(now.at));
     }
 
-    fn plan(&mut self) {
+    // Plans a round if one is due. Returns whether it did.
+    fn plan(&mut self) -> bool {
         let now = self.now();
         let Some((_, lead)) = &mut self.lead else {
-            return;
+            return false;
         };
         let Some(effects) = lead.plan_if_due(now, &self.state) else {
-            return;
+            return false;
         };
         let end = self.clock.now();
         lead.end_round(end);
@@ -350,6 +354,7 @@
         self.load.record_round(took);
         Metrics::observe(&self.metrics.planning_seconds, took);
         self.execute(effects);
+        true
     }
 
     // Bootstraps a new cell. Only the seed with the lowest address does so, and only once
