Work out permission requests without sorting all workers

Cause of the cost: each request ordered all eligible workers with a count of the tasks that fit on each, though it names a hundred at most, and a short step searched all availability zones only to learn whether any worker has room.

--- a/src/core/plane/lead/ask.rs
+++ b/src/core/plane/lead/ask.rs
@@ -102,9 +102,10 @@
             }
             Selection::Sample(mut named, room) => {
                 if named.len() > batch {
-                    sort_for_sampling(targets, required, step, &mut named);
+                    let max_named = batch * max_requests;
+                    named = sample(targets, required, step, &named, max_named);
                     let prefix = prefix_with_room(targets, required, &named, room);
-                    named.truncate(prefix.clamp(batch, batch * max_requests));
+                    named.truncate(prefix.clamp(batch, max_named));
                 }
                 (named, max_requests)
             }
@@ -158,8 +159,7 @@
                 now, step, required, wanted, targets, fitting, &permitted, others,
             );
         }
-        let find = |allowed: &[WorkerKey]| targets.find(required, wanted, allowed, existing);
-        self.select_for_tasks(now, step, targets, &find, fitting, &permitted, others)
+        self.select_for_tasks(now, step, required, targets, fitting, &permitted, others)
     }
 
     // Selects permitted workers whose renewed permits would let tasks start now, otherwise
@@ -172,8 +172,8 @@
         &self,
         now: Now,
         step: StepName,
+        required: &Requirement,
         targets: &Targets,
-        find: &dyn Fn(&[WorkerKey]) -> Vec<WorkerKey>,
         fitting: Vec<WorkerKey>,
         permitted: &[WorkerKey],
         others: Vec<WorkerKey>,
@@ -183,7 +183,8 @@
                 |fitting: &[WorkerKey]| SPARE_WORKERS_MIN + fitting.len() / WORKERS_PER_SPARE;
             return self.select_for_renewal(now, step, targets, fitting, permitted, spare);
         }
-        if find(&others).is_empty() {
+        let has_room = |&key: &WorkerKey| targets.has_room(key, required);
+        if !others.iter().any(has_room) {
             return Selection::Empty;
         }
         Selection::Sample(others, 0)
@@ -273,19 +274,29 @@
     more
 }
 
-// Orders workers with room first, and otherwise by a hash of step and worker, which spreads
-// the steps over the workers.
-fn sort_for_sampling(
+// Returns up to `count` of the workers: those with room first, and otherwise in the order of
+// a hash of step and worker, which spreads the steps over the workers.
+fn sample(
     targets: &Targets,
     required: &Requirement,
     step: StepName,
-    named: &mut [WorkerKey],
-) {
-    named.sort_by_cached_key(|key| {
-        let mut hasher = DefaultHasher::new();
-        (step, key).hash(&mut hasher);
-        (targets.fit_count(*key, required) == 0, hasher.finish())
-    });
+    workers: &[WorkerKey],
+    count: usize,
+) -> Vec<WorkerKey> {
+    let mut ordered: Vec<(bool, u64, WorkerKey)> = workers
+        .iter()
+        .map(|&key| {
+            let mut hasher = DefaultHasher::new();
+            (step, key).hash(&mut hasher);
+            (!targets.has_room(key, required), hasher.finish(), key)
+        })
+        .collect();
+    if count < ordered.len() {
+        ordered.select_nth_unstable(count);
+        ordered.truncate(count);
+    }
+    ordered.sort_unstable();
+    ordered.into_iter().map(|(.., key)| key).collect()
 }
 
 // Returns the length of the shortest prefix of `named` that has room for `count` tasks, or
--- a/src/core/plane/lead/place.rs
+++ b/src/core/plane/lead/place.rs
@@ -159,6 +159,13 @@
             && !(required.serving && target.best_effort || required.best_effort && target.serving)
     }
 
+    /// Returns whether a task fits in the free capacity of a worker.
+    pub fn has_room(&self, worker: WorkerKey, required: &Requirement) -> bool {
+        self.add_examined(1);
+        self.get(worker)
+            .is_some_and(|target| Self::fits(target, required))
+    }
+
     /// Returns how many tasks fit in the free capacity of a worker.
     pub fn fit_count(&self, worker: WorkerKey, required: &Requirement) -> usize {
         let Some(target) = self.get(worker) else {
