--- a/tests/outages.rs
+++ b/tests/outages.rs
@@ -42,23 +42,18 @@
 /// Submits `count` jobs of six tasks at intervals of `every_ms`, and returns the time of each
 /// submission.
 fn submit_jobs(cell: &mut Cell, first: u64, count: u64, every_ms: u64) -> Vec<(JobId, u64)> {
-    let mut sent = Vec::new();
-    for id in first..first + count {
-        sent.push((JobId(id), cell.now));
-        cell.submit("urgent", id, vec![tasks(6, 2, TASK_MS)], TASK_MS);
-        cell.run_for(every_ms);
-    }
-    sent
+    cell.submit_series(
+        "urgent",
+        (first, count),
+        every_ms,
+        |_| vec![tasks(6, 2, TASK_MS)],
+        TASK_MS,
+    )
 }
 
 /// Returns the share of the jobs that were completed within the goal.
 fn share_in_time(cell: &Cell, sent: &[(JobId, u64)]) -> f64 {
-    let is_in_time = |(id, at): &&(JobId, u64)| {
-        cell.completed
-            .get(id)
-            .is_some_and(|done| done - at <= GOAL_MS)
-    };
-    sent.iter().filter(is_in_time).count() as f64 / sent.len() as f64
+    cell.share_in_time(sent, GOAL_MS)
 }
 
 #[test]
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -39,22 +39,11 @@
 
 // Submits `count` jobs at intervals of `every_ms`.
 fn submit_jobs(cell: &mut Cell, first: u64, count: u64, every_ms: u64) -> Vec<(JobId, u64)> {
-    let mut sent = Vec::new();
-    for id in first..first + count {
-        sent.push((JobId(id), cell.now));
-        cell.submit("urgent", id, job(id), TASK_MS);
-        cell.run_for(every_ms);
-    }
-    sent
+    cell.submit_series("urgent", (first, count), every_ms, job, TASK_MS)
 }
 
 fn share_in_time(cell: &Cell, sent: &[(JobId, u64)]) -> f64 {
-    let is_in_time = |(id, at): &&(JobId, u64)| {
-        cell.completed
-            .get(id)
-            .is_some_and(|done| done - at <= GOAL_MS)
-    };
-    sent.iter().filter(is_in_time).count() as f64 / sent.len() as f64
+    cell.share_in_time(sent, GOAL_MS)
 }
 
 fn assert_each_task_runs_once(seed: u64, delay_ms: u64) {
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -476,6 +476,35 @@
         self.submit_calls.insert(id, call);
     }
 
+    /// Submits `count` jobs, which `steps` returns by their ids, at intervals of `every_ms`.
+    /// Returns the time of each submission.
+    pub fn submit_series(
+        &mut self,
+        queue: &str,
+        (first, count): (u64, u64),
+        every_ms: u64,
+        steps: impl Fn(u64) -> Vec<StepSpec>,
+        ms: u64,
+    ) -> Vec<(JobId, u64)> {
+        let mut sent = Vec::new();
+        for id in first..first + count {
+            sent.push((JobId(id), self.now));
+            self.submit(queue, id, steps(id), ms);
+            self.run_for(every_ms);
+        }
+        sent
+    }
+
+    /// Returns the share of the jobs that were completed within `goal_ms`.
+    pub fn share_in_time(&self, sent: &[(JobId, u64)], goal_ms: u64) -> f64 {
+        let is_in_time = |(id, at): &&(JobId, u64)| {
+            self.completed
+                .get(id)
+                .is_some_and(|done| done - at <= goal_ms)
+        };
+        sent.iter().filter(is_in_time).count() as f64 / sent.len() as f64
+    }
+
     /// Cuts an availability zone off for `ms`.
     pub fn cut_zone(&mut self, zone: usize, ms: u64) {
         let until = self.now + ms;
