--- a/src/cell/control/load.rs
+++ b/src/cell/control/load.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::cell::journal::Line;
+use crate::core::plane::lead::Tally;
 use crate::core::time::Moment;
 
 /// Interval of the timers whose delay is measured.
@@ -21,6 +22,12 @@
     ticking: Duration,
     ticks: u64,
     inputs: u64,
+    replies: u64,
+    permissions: u64,
+    queries: u64,
+    steps_waiting: usize,
+    steps_searched: usize,
+    tasks_started: usize,
 }
 
 impl Load {
@@ -42,15 +49,33 @@
         self.inputs += 1;
     }
 
+    /// Records the handling of a worker's reply.
+    pub(super) fn record_reply(&mut self) {
+        self.replies += 1;
+    }
+
+    /// Records the handling of an answer of the permission service.
+    pub(super) fn record_permission(&mut self) {
+        self.permissions += 1;
+    }
+
+    /// Records the handling of a query.
+    pub(super) fn record_query(&mut self) {
+        self.queries += 1;
+    }
+
     /// Records an iteration of the loop that took `busy` without the wait for inputs.
     pub(super) fn record_iteration(&mut self, busy: Duration) {
         self.busy += busy;
     }
 
     /// Records a planning round.
-    pub(super) fn record_round(&mut self, took: Duration) {
+    pub(super) fn record_round(&mut self, took: Duration, tally: Tally) {
         self.planning += took;
         self.rounds += 1;
+        self.steps_waiting = self.steps_waiting.max(tally.waiting);
+        self.steps_searched += tally.searched;
+        self.tasks_started += tally.started;
     }
 
     /// Records a check of all workers for what is due.
@@ -76,6 +101,12 @@
             ticking_ms: millis(done.ticking),
             ticks: done.ticks,
             inputs: done.inputs,
+            replies: done.replies,
+            permissions: done.permissions,
+            queries: done.queries,
+            steps_waiting_max: done.steps_waiting,
+            steps_searched: done.steps_searched,
+            tasks_started: done.tasks_started,
         })
     }
 }
--- a/src/cell/control/mod.rs
+++ b/src/cell/control/mod.rs
@@ -350,8 +350,9 @@
         };
         let end = self.clock.now();
         lead.end_round(end);
+        let tally = lead.tally();
         let took = end.since(now.at);
-        self.load.record_round(took);
+        self.load.record_round(took, tally);
         Metrics::observe(&self.metrics.planning_seconds, took);
         self.execute(effects);
         true
@@ -537,6 +538,7 @@
             self.send_answer(call, Answer::NotLeader);
             return;
         }
+        self.load.record_query();
         self.decide(|lead, now, state| lead.handle_query(now, state, call, query));
     }
 
@@ -562,9 +564,11 @@
                 self.start_delay_timer(term);
             }
             TaskResult::Reply(term, number, reply) if led_term == Some(term) => {
+                self.load.record_reply();
                 self.decide(|lead, now, state| lead.handle_reply(now, state, number, reply));
             }
             TaskResult::Permission(term, number, permission) if led_term == Some(term) => {
+                self.load.record_permission();
                 self.decide(|lead, now, state| {
                     lead.handle_permission(now, state, number, permission)
                 });
--- a/src/cell/journal.rs
+++ b/src/cell/journal.rs
@@ -160,6 +160,18 @@
         ticks: u64,
         /// Number of inputs: messages of peers, replies, queries and completed writes.
         inputs: u64,
+        /// Number of inputs that were workers' replies.
+        replies: u64,
+        /// Number of inputs that were answers of the permission service.
+        permissions: u64,
+        /// Number of inputs that were queries.
+        queries: u64,
+        /// Maximum number of steps that waited for placement in a planning round.
+        steps_waiting_max: usize,
+        /// Number of steps for which rounds searched workers; a step counts once a round.
+        steps_searched: usize,
+        /// Number of tasks that rounds started.
+        tasks_started: usize,
     },
     /// A caller's request was answered.
     Request {
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -28,6 +28,7 @@
 pub use order::{Rank, rank};
 pub use permits::{Permits, batch_size, expected_duration};
 pub use place::{Requirement, Target, Targets};
+pub use plan::Tally;
 pub use waiting::WaitReason;
 
 use super::job::Status;
@@ -127,6 +128,8 @@
     planned_at: Moment,
     /// Minimum interval until the next planning round.
     plan_interval: Duration,
+    /// What the latest planning round did.
+    tally: Tally,
     effects: Vec<Effect>,
 }
 
@@ -163,6 +166,7 @@
             dirty: true,
             planned_at: Moment::ZERO,
             plan_interval: PLAN_INTERVAL_MIN,
+            tally: Tally::default(),
             effects: Vec::new(),
         };
         for (key, worker) in (0..).map(WorkerKey).zip(&state.workers) {
@@ -392,9 +396,9 @@
         }
         self.dirty = false;
         self.planned_at = now.at;
-        let (starts, examined) = self.plan(now, state);
-        self.plan_interval =
-            (PLAN_INTERVAL_MIN + PLAN_INTERVAL_PER_ITEM * examined).min(PLAN_INTERVAL_MAX);
+        let starts = self.plan(now, state);
+        let interval = PLAN_INTERVAL_MIN + PLAN_INTERVAL_PER_ITEM * self.tally.examined;
+        self.plan_interval = interval.min(PLAN_INTERVAL_MAX);
         let ends = std::mem::take(&mut self.ends);
         if !starts.is_empty() || !ends.is_empty() {
             let at_ms = now.wall_ms;
@@ -416,6 +420,11 @@
         self.plan_interval = self.plan_interval.max(interval);
     }
 
+    /// Returns what the latest planning round did.
+    pub const fn tally(&self) -> Tally {
+        self.tally
+    }
+
     /// Returns the time by which [`Lead::tick_if_due`] or [`Lead::plan_if_due`] should be called
     /// next.
     pub fn wake_at(&self) -> Moment {
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -50,6 +50,19 @@
     }
 }
 
+/// What a planning round did.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Number of steps with tasks that wait for placement.
+    pub waiting: usize,
+    /// Number of these steps for which workers were searched.
+    pub searched: usize,
+    /// Number of workers and steps examined.
+    pub examined: u32,
+    /// Number of tasks to start.
+    pub started: usize,
+}
+
 /// A step with tasks waiting for placement.
 pub(super) struct PendingStep {
     pub(super) rank: Rank,
@@ -58,12 +71,13 @@
 }
 
 impl Lead {
-    /// Plans one round. Returns the starts and the number of workers and steps examined.
-    pub(super) fn plan(&mut self, now: Now, state: &State) -> (Vec<Start>, u32) {
+    /// Plans one round. Returns the starts.
+    pub(super) fn plan(&mut self, now: Now, state: &State) -> Vec<Start> {
         let mut waiting = self.waiting_steps(now, state);
         if waiting.is_empty() {
             self.waits.record(now.at, &[]);
-            return (Vec::new(), 0);
+            self.tally = Tally::default();
+            return Vec::new();
         }
         waiting.sort_unstable_by_key(|w| (w.rank, w.step));
         let targets = self.targets(now, state);
@@ -98,7 +112,13 @@
         for note in self.waits.record(now.at, &left) {
             self.note(note);
         }
-        (round.starts, round.targets.examined())
+        self.tally = Tally {
+            waiting: waiting.len(),
+            searched: planned,
+            examined: round.targets.examined(),
+            started: round.starts.len(),
+        };
+        round.starts
     }
 
     fn waiting_steps(&self, now: Now, state: &State) -> Vec<PendingStep> {
