--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use plantaincross::core::plane::job::StepSpec;
+use plantaincross::core::plane::lead::Query;
 use plantaincross::core::plane::plan::{Permission, Queue};
 use plantaincross::core::plane::types::{JobId, Resources};
 use support::{Cell, queue, tasks};
@@ -112,10 +113,47 @@
     assert_eq!(cell.stop_orders, JOBS * u64::from(TASKS));
 }
 
+#[test]
+fn steps_over_their_accounts_cap_are_not_searched_in_each_round() {
+    const WAITING: u64 = 50;
+    const SECONDS: u64 = 2;
+    const SEARCHES_PER_SECOND_MAX: u64 = 10;
+    let cap = Resources {
+        cpu: 80_000,
+        ..Resources::default()
+    };
+    let mut cell = Cell::new(6, WORKERS, vec![urgent()], cap);
+    cell.run_for(100);
+    cell.submit_series(
+        "urgent",
+        (1, WAITING + 5),
+        1,
+        |_| vec![tasks(4, 4, 10_000)],
+        10_000,
+    );
+    cell.run_for(500);
+    cell.searches = 0;
+    for _ in 0..SECONDS * 100 {
+        // Reports that change the state make each round due.
+        let mut report = cell.workers[0].report.clone();
+        report.sequence += 1;
+        report.labels.swap(0, 2);
+        cell.workers[0].report = report.clone();
+        cell.query(Query::Report(Box::new(report)));
+        cell.run_for(10);
+    }
+    let max = WAITING * SECONDS * SEARCHES_PER_SECOND_MAX;
+    assert!(
+        cell.searches <= max,
+        "{} searches for {WAITING} steps in {SECONDS} s, none of which could start",
+        cell.searches
+    );
+}
+
 #[test]
 fn slow_planning_rounds_do_not_hold_up_inputs() {
     let mut cell = cell(3);
-    cell.round_ms = 12;
+    cell.costs.round = 12_000;
     let sent = submit_jobs(&mut cell, 1, 300, 12);
     cell.run_for(4_000);
     let in_time = share_in_time(&cell, &sent);
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -8,9 +8,11 @@
 use plantaincross::core::plane::plan::{Permission, Queue};
 use plantaincross::core::plane::types::{JobId, Resources};
 use plantaincross::core::plane::worker::Report;
-use support::{Cell, queue, tasks};
+use support::{Cell, Costs, queue, tasks};
 
 const LOAD_SECONDS: u64 = 36;
+/// Duration of the load on a leader whose work takes time.
+const SHORT_LOAD_SECONDS: u64 = 20;
 /// Interval between gang jobs, in steps of 1 ms: 8.3 jobs per second.
 const GANG_INTERVAL_MS: u64 = 120;
 /// Interval between wide jobs: 11 jobs per second.
@@ -51,6 +53,8 @@
     Normal,
     /// Bursts above the fleet's capacity, while a fifth of the workers departs.
     Overload,
+    /// Gangs at almost twice their usual rate all the time, more than the fleet can run.
+    Backlog,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -163,12 +167,12 @@
         self.next_id += 1;
     }
 
-    fn run(&mut self, load: Load) {
-        for ms in 0..LOAD_SECONDS * 1_000 {
+    fn run(&mut self, load: Load, seconds: u64) {
+        for ms in 0..seconds * 1_000 {
             // Bursts in which gangs arrive at almost twice their usual rate.
             let in_burst = load == Load::Overload
                 && ((12_000..16_000).contains(&ms) || (24_000..26_000).contains(&ms));
-            let gang_interval_ms = if in_burst {
+            let gang_interval_ms = if in_burst || load == Load::Backlog {
                 GANG_INTERVAL_MS * 10 / 18
             } else {
                 GANG_INTERVAL_MS
@@ -210,7 +214,7 @@
 // least 0.7 times as often as all gangs, and 95% of the urgent jobs must meet theirs.
 fn assert_large_gangs_are_served(seed: u64, load: Load) {
     let mut scenario = Scenario::new(seed);
-    scenario.run(load);
+    scenario.run(load, LOAD_SECONDS);
     let mut gangs = scenario.gangs.clone();
     gangs.sort_by_key(|gang| gang.tasks);
     let largest = &gangs[gangs.len() * 9 / 10..];
@@ -240,3 +244,35 @@
     large_gangs_on_a_fleet_that_is_four_fifths_full: 1, Load::Normal;
     large_gangs_on_a_fleet_that_is_over_full: 6, Load::Overload;
 }
+
+// Guards against a leader without processor time to spare that makes urgent jobs late for the
+// sake of work that can wait.
+fn assert_urgent_jobs_are_in_time(seed: u64, slowness: u64) {
+    let mut scenario = Scenario::new(seed);
+    scenario.cell.costs = Costs {
+        input: 90 * slowness,
+        round: 300 * slowness,
+        search: 40 * slowness,
+        tick: 200 * slowness,
+    };
+    scenario.run(Load::Backlog, SHORT_LOAD_SECONDS);
+    let urgent = scenario.share_in_time(&scenario.urgent);
+    let (gangs, wide) = (
+        scenario.share_in_time(&scenario.gangs),
+        scenario.share_in_time(&scenario.wide),
+    );
+    println!("in time: urgent {urgent:.3}, gangs {gangs:.3}, wide {wide:.3}");
+    assert!(urgent >= 0.95, "{urgent:.3} of the urgent jobs are in time");
+}
+
+macro_rules! leaders {
+    ($($name:ident: $seed:expr, $slowness:expr;)*) => {
+        $(#[test] fn $name() { assert_urgent_jobs_are_in_time($seed, $slowness); })*
+    };
+}
+
+leaders! {
+    urgent_jobs_are_in_time_while_the_leader_is_full: 1, 1;
+    urgent_jobs_are_in_time_while_the_leader_takes_twice_as_long: 2, 2;
+    urgent_jobs_are_in_time_while_the_leader_takes_three_times_as_long: 3, 3;
+}
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -143,6 +143,19 @@
     pub lost_per_mille: u32,
 }
 
+/// Processor time that the leader takes, in microseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Costs {
+    /// For each input, with the orders that follow from it.
+    pub input: u64,
+    /// For each planning round.
+    pub round: u64,
+    /// For each step for which a round searches workers.
+    pub search: u64,
+    /// For each check of all workers.
+    pub tick: u64,
+}
+
 pub struct Cell {
     pub now: u64,
     pub state: State,
@@ -155,10 +168,12 @@
     /// Maximum time, in milliseconds, by which the leader sends an order after its decision.
     /// It handles each input that much later than the input arrives.
     pub leader_delay_ms: u64,
-    /// Time that each planning round takes, in which the leader handles nothing else.
-    pub round_ms: u64,
-    /// Time until which the leader is busy with a planning round.
-    leader_busy_until: u64,
+    /// Time that the leader's work takes; it handles one thing at a time.
+    pub costs: Costs,
+    /// Time until which the leader is busy, in microseconds.
+    leader_busy_until_us: u64,
+    /// Number of steps for which planning rounds have searched workers.
+    pub searches: u64,
     pub answers: BTreeMap<u64, Answer>,
     /// Time at which each job was first seen as completed.
     pub completed: BTreeMap<JobId, u64>,
@@ -235,8 +250,9 @@
             faults: Faults::default(),
             refuses_connections: false,
             leader_delay_ms: 0,
-            round_ms: 0,
-            leader_busy_until: 0,
+            costs: Costs::default(),
+            leader_busy_until_us: 0,
+            searches: 0,
             answers: BTreeMap::new(),
             completed: BTreeMap::new(),
             permission_requests: 0,
@@ -394,6 +410,26 @@
         self.plan();
     }
 
+    // Has the leader handle one input.
+    fn handle_input(&mut self, decide: impl FnOnce(&mut Lead, Now, &State) -> Vec<Effect>) {
+        self.occupy_leader(self.costs.input);
+        self.decide(decide);
+    }
+
+    fn occupy_leader(&mut self, cost_us: u64) {
+        self.leader_busy_until_us = self.leader_busy_until_us.max(self.now * 1_000) + cost_us;
+    }
+
+    // Returns whether the leader handles nothing more in this millisecond.
+    fn is_leader_busy(&self) -> bool {
+        self.leader_busy_until_us >= (self.now + 1) * 1_000
+    }
+
+    // Returns the time until the leader handles the next input.
+    fn leader_wait_ms(&self) -> u64 {
+        self.leader_busy_until_us / 1_000 - self.now
+    }
+
     // Has the leader plan a round, if one is due. It is busy for as long as the round takes.
     fn plan(&mut self) {
         let now = self.current_time();
@@ -403,19 +439,22 @@
         let Some(effects) = lead.plan_if_due(now, &self.state) else {
             return;
         };
-        self.leader_busy_until = self.now + self.round_ms;
-        lead.end_round(Moment::from_millis(self.leader_busy_until));
+        let searched = lead.tally().searched as u64;
+        self.searches += searched;
+        let began_us = self.leader_busy_until_us.max(self.now * 1_000);
+        let took_us = self.costs.round + searched * self.costs.search;
+        self.leader_busy_until_us = began_us + took_us;
+        lead.end_round(Moment(self.now * 1_000 + took_us));
         self.apply_effects(effects);
     }
 
     pub fn query(&mut self, query: Query) -> u64 {
         self.next_call += 1;
         let call = self.next_call;
-        if self.now < self.leader_busy_until {
-            let after = self.leader_busy_until - self.now;
-            self.schedule(after, Event::Query(call, Box::new(query)));
+        if self.is_leader_busy() {
+            self.schedule(self.leader_wait_ms(), Event::Query(call, Box::new(query)));
         } else {
-            self.decide(|lead, now, state| lead.handle_query(now, state, Call(call), query));
+            self.handle_input(|lead, now, state| lead.handle_query(now, state, Call(call), query));
         }
         call
     }
@@ -545,13 +584,14 @@
                 break;
             }
             let event = self.events.remove(&(at, sequence)).expect("first");
-            if event.is_input() && self.now < self.leader_busy_until {
-                self.schedule(self.leader_busy_until - self.now, event);
+            if event.is_input() && self.is_leader_busy() {
+                self.schedule(self.leader_wait_ms(), event);
             } else {
                 self.process_event(event);
             }
         }
-        if self.now.is_multiple_of(5) && self.now >= self.leader_busy_until {
+        if self.now.is_multiple_of(5) && !self.is_leader_busy() {
+            self.occupy_leader(self.costs.tick);
             self.decide(|lead, now, state| lead.tick_if_due(now, state).unwrap_or_default());
         }
         self.check();
@@ -699,7 +739,7 @@
                     return;
                 }
                 let number = key & ((1 << 40) - 1);
-                self.decide(|lead, now, state| lead.handle_reply(now, state, number, reply));
+                self.handle_input(|lead, now, state| lead.handle_reply(now, state, number, reply));
             }
             Event::Timeout(key) => self.process_event(Event::Answer(key, Reply::NoAnswer)),
             Event::Commit(term, command, answers) => {
@@ -710,12 +750,12 @@
                     self.answers.insert(call.0, answer);
                 }
                 if term == self.term {
-                    self.decide(|lead, now, state| lead.handle_applied(now, state, &command));
+                    self.handle_input(|lead, now, state| lead.handle_applied(now, state, &command));
                 }
             }
             Event::Permit(term, number, permission) => {
                 if term == self.term {
-                    self.decide(|lead, now, state| {
+                    self.handle_input(|lead, now, state| {
                         lead.handle_permission(now, state, number, permission)
                     });
                 }
@@ -727,7 +767,9 @@
                 }
             }
             Event::Query(call, query) => {
-                self.decide(|lead, now, state| lead.handle_query(now, state, Call(call), *query));
+                self.handle_input(|lead, now, state| {
+                    lead.handle_query(now, state, Call(call), *query)
+                });
             }
         }
     }
