--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -231,8 +231,7 @@
         self.ticked_at = now.at;
         self.tick_pending = false;
         for completed in self.permits.expire(now.at) {
-            self.note_permission(completed);
-            self.dirty = true;
+            self.permission_completed(completed);
         }
         self.tick_workers(now, state);
         Some(std::mem::take(&mut self.effects))
@@ -290,8 +289,7 @@
             Permission::Busy | Permission::NoAnswer => None,
         };
         if let Some(completed) = self.permits.record_answer(now.at, number, granted) {
-            self.note_permission(completed);
-            self.dirty = true;
+            self.permission_completed(completed);
         }
         std::mem::take(&mut self.effects)
     }
@@ -379,7 +377,9 @@
         self.effects.push(Effect::Note(note));
     }
 
-    fn note_permission(&mut self, completed: permits::CompletedRequest) {
+    fn permission_completed(&mut self, completed: permits::CompletedRequest) {
+        self.waits.search_now(completed.step);
+        self.dirty = true;
         self.note(Note::Permission {
             step: completed.step.to_string(),
             named: completed.named,
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -2,10 +2,12 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 
 use super::order::{Rank, Timing, rank};
 use super::place::{Requirement, Target, Targets};
-use super::waiting::WaitReason;
+use super::waiting::{Outcome, WaitReason, search_interval};
 use super::{Lead, Now};
 use crate::core::plane::job::{Job, Phase, Step, StepSpec};
 use crate::core::plane::plan::Queue;
@@ -26,12 +28,22 @@
 /// to the next.
 const EXAMINED_MAX: u32 = 60_000;
 
+/// Capacity reserved for a gang that waits.
+#[derive(Clone, Debug)]
+pub(super) struct Reserve {
+    /// What each task takes.
+    required: Requirement,
+    /// Number of tasks.
+    count: usize,
+    /// Workers that they may run on.
+    allowed: Vec<WorkerKey>,
+}
+
 /// State of one planning round.
 struct Round {
     targets: Targets,
-    /// Gangs to reserve capacity for: what each task takes, the number of tasks, and the
-    /// workers they may run on.
-    reserves: Vec<(Requirement, usize, Vec<WorkerKey>)>,
+    /// Reserves of the group of steps being planned.
+    reserves: Vec<Arc<Reserve>>,
     /// Processors reserved so far and their maximum, in thousandths of a core.
     reserved_cpu: i64,
     reserved_cpu_max: i64,
@@ -44,10 +56,24 @@
     // Applies the reserves of the group of steps just planned to the groups after it. Within
     // a group they do not apply: gangs of one queue would wait for each other's permits.
     fn apply_reserves(&mut self) {
-        for (required, count, allowed) in self.reserves.drain(..) {
-            self.targets.reserve(&required, count, &allowed);
+        for reserve in self.reserves.drain(..) {
+            let Reserve {
+                required,
+                count,
+                allowed,
+            } = reserve.as_ref();
+            self.targets.reserve(required, *count, allowed);
         }
     }
+
+    const fn may_reserve(&self) -> bool {
+        self.reserved_cpu < self.reserved_cpu_max
+    }
+
+    fn reserve(&mut self, reserve: &Arc<Reserve>) {
+        self.reserved_cpu += reserve.required.resources.cpu * reserve.count as i64;
+        self.reserves.push(Arc::clone(reserve));
+    }
 }
 
 /// What a planning round did.
@@ -75,7 +101,7 @@
     pub(super) fn plan(&mut self, now: Now, state: &State) -> Vec<Start> {
         let mut waiting = self.waiting_steps(now, state);
         if waiting.is_empty() {
-            self.waits.record(now.at, &[]);
+            self.waits.record(now.at, Vec::new());
             self.tally = Tally::default();
             return Vec::new();
         }
@@ -93,28 +119,30 @@
         };
         let mut group = None;
         let mut left = Vec::new();
-        let mut planned = 0;
+        let mut searched = 0;
         for step in &waiting {
             let next = (step.rank.lateness, step.rank.priority);
             if group.is_some_and(|group| group != next) {
                 round.apply_reserves();
             }
             group = Some(next);
-            let reason = self.plan_step(now, state, step, &mut round);
-            left.extend(reason.map(|reason| (step.step, step.count, reason)));
-            planned += 1;
-            if round.targets.examined() > EXAMINED_MAX {
-                break;
+            if let Some(outcome) = self.outcome_without_search(now, state, step, &round) {
+                if let Some(reserve) = outcome.reserve.as_ref().filter(|_| round.may_reserve()) {
+                    round.reserve(reserve);
+                }
+                left.push((step.step, outcome));
+                continue;
             }
+            let outcome = self.plan_step(now, state, step, &mut round);
+            left.extend(outcome.map(|outcome| (step.step, outcome)));
+            searched += 1;
         }
-        let skipped = waiting[planned..].iter();
-        left.extend(skipped.map(|step| (step.step, step.count, WaitReason::RoundLimit)));
-        for note in self.waits.record(now.at, &left) {
+        for note in self.waits.record(now.at, left) {
             self.note(note);
         }
         self.tally = Tally {
             waiting: waiting.len(),
-            searched: planned,
+            searched,
             examined: round.targets.examined(),
             started: round.starts.len(),
         };
@@ -221,6 +249,32 @@
         targets
     }
 
+    // Returns why a step waits, if no search for workers can change that in this round.
+    fn outcome_without_search(
+        &self,
+        now: Now,
+        state: &State,
+        pending: &PendingStep,
+        round: &Round,
+    ) -> Option<Outcome> {
+        let PendingStep { step, count, .. } = *pending;
+        let wait = |reason| Outcome {
+            reason,
+            count,
+            search_at: now.at,
+            reserve: None,
+        };
+        let job = &state.jobs[&step.job];
+        let (spec, _) = job.step(step)?;
+        if self.count_within_cap(state, job, spec, count) == 0 {
+            return Some(wait(WaitReason::Cap));
+        }
+        if let Some(outcome) = self.waits.outcome(now.at, step, count) {
+            return Some(outcome.clone());
+        }
+        (round.targets.examined() > EXAMINED_MAX).then(|| wait(WaitReason::RoundLimit))
+    }
+
     // Starts what tasks of a step it can. Returns why the others wait, if any do.
     fn plan_step(
         &mut self,
@@ -228,10 +282,19 @@
         state: &State,
         pending: &PendingStep,
         round: &mut Round,
-    ) -> Option<WaitReason> {
+    ) -> Option<Outcome> {
         let name = pending.step;
         let job = &state.jobs[&name.job];
         let (spec, _) = job.step(name)?;
+        let search_at = now.at + search_interval(Duration::from_millis(spec.estimate_ms));
+        let wait = |reason, placed: usize, reserve| {
+            Some(Outcome {
+                reason,
+                count: pending.count - placed,
+                search_at,
+                reserve,
+            })
+        };
         let queue = state.queue(job.queue);
         let permitted = queue
             .permission
@@ -241,8 +304,8 @@
             ..requirement(spec, queue, &self.racks, self.bounds.far_factor)
         };
         if permitted.as_ref().is_some_and(Vec::is_empty) && self.permits.is_waiting(now.at, name) {
-            self.reserve_room(pending, spec, &required, &[], round);
-            return Some(WaitReason::Permit);
+            let reserve = self.reserve_room(pending, spec, &required, &[], round);
+            return wait(WaitReason::Permit, 0, reserve);
         }
         let count = self.count_within_cap(state, job, spec, pending.count);
         let eligible = eligible(state, round, job, spec);
@@ -256,9 +319,6 @@
         if is_complete {
             return None;
         }
-        if count == 0 {
-            return Some(WaitReason::Cap);
-        }
         let placed = if spec.gang { 0 } else { found.len() };
         if let Some(permission) = queue.permission {
             let targets = &round.targets;
@@ -267,13 +327,14 @@
                 now, state, name, &required, permission, &eligible, targets, &existing, wanted,
             );
         }
-        self.reserve_room(pending, spec, &required, &eligible, round);
+        let reserve = self.reserve_room(pending, spec, &required, &eligible, round);
         let is_asking = queue.permission.is_some() && self.permits.is_waiting(now.at, name);
-        Some(if is_asking {
+        let reason = if is_asking {
             WaitReason::Permit
         } else {
             WaitReason::Room
-        })
+        };
+        wait(reason, placed, reserve)
     }
 
     // Returns whether a job with independent tasks cannot meet its goal if one of its workers is cut off until the
@@ -299,16 +360,18 @@
         required: &Requirement,
         eligible: &[WorkerKey],
         round: &mut Round,
-    ) {
-        if !spec.gang || round.reserved_cpu >= round.reserved_cpu_max {
-            return;
+    ) -> Option<Arc<Reserve>> {
+        if !spec.gang || !round.may_reserve() {
+            return None;
         }
-        round.reserved_cpu += required.resources.cpu * pending.count as i64;
         let allowed = self.permitted_workers(pending.step, &round.targets);
-        let allowed = allowed.unwrap_or_else(|| eligible.to_vec());
-        round
-            .reserves
-            .push((required.clone(), pending.count, allowed));
+        let reserve = Arc::new(Reserve {
+            required: required.clone(),
+            count: pending.count,
+            allowed: allowed.unwrap_or_else(|| eligible.to_vec()),
+        });
+        round.reserve(&reserve);
+        Some(reserve)
     }
 
     // Returns how many of `count` tasks can start within the account's cap. A gang starts
--- a/src/core/plane/lead/waiting.rs
+++ b/src/core/plane/lead/waiting.rs
@@ -1,17 +1,30 @@
-//! Log lines on steps that wait for long, with the reason that planning gave.
+//! Steps that planning left waiting: when to search workers for them again, and log lines on
+//! those that wait for long.
+//!
+//! On a full fleet hundreds of steps wait for seconds. A search in each round would cost a
+//! leader most of its time and delay the steps that can start.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Serialize;
 
 use super::io::Note;
+use super::plan::Reserve;
 use crate::core::plane::types::StepName;
 use crate::core::time::Moment;
 
 /// Time for which a step waits before a line about it is written, and interval of the lines.
 const WAIT_NOTE_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Interval between searches for a waiting step as a divisor of its estimated run time, so that
+/// a late search costs under 1 % of it.
+const SEARCH_INTERVAL_DIVISOR: u32 = 128;
+/// Maximum interval between searches for a waiting step. A worker whose state changes other
+/// than by the end of a run is noticed within it.
+const SEARCH_INTERVAL_MAX: Duration = Duration::from_millis(40);
+
 /// Why a planning round left tasks of a step waiting.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -26,10 +39,23 @@
     RoundLimit,
 }
 
-#[derive(Clone, Copy, Debug)]
+/// Outcome of a search that left tasks of a step waiting.
+#[derive(Clone, Debug)]
+pub(super) struct Outcome {
+    pub(super) reason: WaitReason,
+    /// Number of tasks left waiting.
+    pub(super) count: usize,
+    /// Time of the next search.
+    pub(super) search_at: Moment,
+    /// Capacity to reserve until then.
+    pub(super) reserve: Option<Arc<Reserve>>,
+}
+
+#[derive(Clone, Debug)]
 struct Wait {
     since: Moment,
     noted_at: Moment,
+    outcome: Outcome,
 }
 
 /// Steps that the latest planning round left waiting.
@@ -39,33 +65,49 @@
 }
 
 impl Waits {
-    /// Records the steps that a round left waiting, each with its number of tasks. Returns the
-    /// lines that are due.
-    pub(super) fn record(
-        &mut self,
-        now: Moment,
-        waiting: &[(StepName, usize, WaitReason)],
-    ) -> Vec<Note> {
+    /// Returns the outcome of the latest search for `count` tasks of a step, if the next one
+    /// is not due.
+    pub(super) fn outcome(&self, now: Moment, step: StepName, count: usize) -> Option<&Outcome> {
+        let outcome = &self.steps.get(&step)?.outcome;
+        (now < outcome.search_at && count == outcome.count).then_some(outcome)
+    }
+
+    /// Makes the next search for a step due.
+    pub(super) fn search_now(&mut self, step: StepName) {
+        if let Some(wait) = self.steps.get_mut(&step) {
+            wait.outcome.search_at = Moment::ZERO;
+        }
+    }
+
+    /// Records the steps that a round left waiting. Returns the lines that are due.
+    pub(super) fn record(&mut self, now: Moment, waiting: Vec<(StepName, Outcome)>) -> Vec<Note> {
         let mut steps = HashMap::with_capacity(waiting.len());
         let mut notes = Vec::new();
-        for &(step, count, reason) in waiting {
-            let known = self.steps.get(&step).copied();
-            let mut wait = known.unwrap_or(Wait {
-                since: now,
-                noted_at: now,
-            });
-            if now.since(wait.noted_at) >= WAIT_NOTE_INTERVAL {
-                wait.noted_at = now;
+        for (step, outcome) in waiting {
+            let known = self.steps.get(&step);
+            let (since, mut noted_at) = known.map_or((now, now), |w| (w.since, w.noted_at));
+            if now.since(noted_at) >= WAIT_NOTE_INTERVAL {
+                noted_at = now;
                 notes.push(Note::StepWaits {
                     step: step.to_string(),
-                    tasks: count,
-                    reason,
-                    waited_ms: now.since(wait.since).as_millis() as u64,
+                    tasks: outcome.count,
+                    reason: outcome.reason,
+                    waited_ms: now.since(since).as_millis() as u64,
                 });
             }
+            let wait = Wait {
+                since,
+                noted_at,
+                outcome,
+            };
             steps.insert(step, wait);
         }
         self.steps = steps;
         notes
     }
 }
+
+/// Returns the interval between searches for a waiting step with this estimated run time.
+pub(super) fn search_interval(estimate: Duration) -> Duration {
+    (estimate / SEARCH_INTERVAL_DIVISOR).min(SEARCH_INTERVAL_MAX)
+}
