--- a/src/core/plane/lead/ask.rs
+++ b/src/core/plane/lead/ask.rs
@@ -148,11 +148,7 @@
         else {
             return Selection::Sample(eligible.to_vec(), wanted * FIRST_REQUEST_SLOTS_PER_TASK);
         };
-        let (permitted, others): (Vec<WorkerKey>, Vec<WorkerKey>) = eligible
-            .iter()
-            .copied()
-            .filter(|key| !step_permits.denied.contains(key))
-            .partition(|key| step_permits.permitted.contains_key(key));
+        let (permitted, others) = step_permits.split(eligible);
         let fitting = targets.find(required, wanted, &permitted, existing);
         if is_gang {
             return self.select_for_gang(
--- a/src/core/plane/lead/channel.rs
+++ b/src/core/plane/lead/channel.rs
@@ -131,10 +131,17 @@
 /// Reply to an outstanding order.
 #[derive(Clone, Copy, Debug)]
 struct AwaitedReply {
+    number: u64,
     due_at: Moment,
     is_overdue: bool,
 }
 
+impl AwaitedReply {
+    fn becomes_overdue(&self, caught_up_to: Moment) -> bool {
+        !self.is_overdue && caught_up_to.since(self.due_at) >= REPLY_OVERDUE_MAX
+    }
+}
+
 /// The leader's view of a worker incarnation.
 #[derive(Clone, Debug)]
 pub struct Channel {
@@ -163,8 +170,8 @@
     pub inspect_at: Moment,
     /// Time of the first unanswered order since the latest answer.
     pub unanswered_since: Option<Moment>,
-    /// Replies to outstanding orders, by order number.
-    awaited_replies: BTreeMap<u64, AwaitedReply>,
+    /// Replies to outstanding orders; few at a time.
+    awaited_replies: Vec<AwaitedReply>,
     /// Runs that may be on the worker, by task.
     live: BTreeMap<TaskName, Live>,
     /// Number of runs whose end is proposed and not yet committed.
@@ -215,7 +222,7 @@
             inspection: None,
             inspect_at: now,
             unanswered_since: None,
-            awaited_replies: BTreeMap::new(),
+            awaited_replies: Vec::new(),
             live: BTreeMap::new(),
             ending: 0,
             inherited: 0,
@@ -297,20 +304,20 @@
 
     /// Records that the reply to an order is due at `at`.
     pub fn await_reply(&mut self, number: u64, at: Moment) {
-        let reply = AwaitedReply {
+        self.awaited_replies.push(AwaitedReply {
+            number,
             due_at: at,
             is_overdue: false,
-        };
-        self.awaited_replies.insert(number, reply);
+        });
     }
 
     /// Returns the orders whose replies have become overdue since the last call.
     pub fn take_overdue(&mut self, caught_up_to: Moment) -> Vec<u64> {
         let mut overdue = Vec::new();
-        for (&number, reply) in &mut self.awaited_replies {
-            if !reply.is_overdue && caught_up_to.since(reply.due_at) >= REPLY_OVERDUE_MAX {
+        for reply in &mut self.awaited_replies {
+            if reply.becomes_overdue(caught_up_to) {
                 reply.is_overdue = true;
-                overdue.push(number);
+                overdue.push(reply.number);
             }
         }
         overdue
@@ -318,17 +325,13 @@
 
     /// Records that an order is no longer outstanding, whether or not it was answered.
     pub fn end_wait(&mut self, number: u64) {
-        self.awaited_replies.remove(&number);
+        self.awaited_replies.retain(|reply| reply.number != number);
     }
 
     /// Returns the time since which the worker has owed a reply without answering
     /// anything, or `None` if it owes none.
     pub fn silent_since(&self) -> Option<Moment> {
-        let earliest = self
-            .awaited_replies
-            .values()
-            .map(|reply| reply.due_at)
-            .min();
+        let earliest = self.awaited_replies.iter().map(|reply| reply.due_at).min();
         let owed_since = self.unanswered_since.or(earliest)?;
         Some(owed_since.max(self.heard_at))
     }
@@ -356,6 +359,17 @@
         self.is_out_of_contact(caught_up_to, CONTACT_TIMEOUT / 2)
     }
 
+    /// Returns whether the worker is to be inspected, or a reply or a lease may have run out.
+    pub fn is_due(&self, now: Moment, caught_up_to: Moment) -> bool {
+        let needs_inspection = || now >= self.inspect_at || self.needs_inspection(caught_up_to);
+        let mut replies = self.awaited_replies.iter();
+        !self.adopted
+            || self.unanswered_since.is_some()
+            || self.departing.is_some()
+            || self.inspection.is_none() && needs_inspection()
+            || replies.any(|reply| reply.becomes_overdue(caught_up_to))
+    }
+
     /// Returns whether the worker may get new runs. Runs that the replicated state does
     /// not count for the worker take up part of its capacity.
     pub fn is_usable(&self, now: Moment, caught_up_to: Moment) -> bool {
@@ -389,6 +403,9 @@
 
     /// Returns the current failure score.
     pub fn failures(&self, now: Moment) -> f64 {
+        if self.failures == 0.0 {
+            return 0.0;
+        }
         let half_lives =
             now.since(self.failures_at).as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
         self.failures * 0.5_f64.powf(half_lives)
--- a/src/core/plane/lead/inspect.rs
+++ b/src/core/plane/lead/inspect.rs
@@ -21,7 +21,7 @@
     // worker carries out late, is noticed in this way long before it times out.
     pub(super) fn probe_if_overdue(&mut self, now: Now, state: &State, key: WorkerKey) {
         let caught_up_to = self.caught_up_to;
-        let channel = self.channels.get_mut(&key).expect("known worker");
+        let channel = self.channels.get_mut(key).expect("known worker");
         let mut needs_probe = false;
         for number in channel.take_overdue(caught_up_to) {
             let Some(sent) = self.sent_orders.get(&number) else {
@@ -47,7 +47,7 @@
     /// Inspects a worker. It may delay its reply until a run ends, unless it is idle or has
     /// left an order unanswered.
     pub(super) fn inspect(&mut self, now: Now, state: &State, key: WorkerKey) {
-        let channel = &self.channels[&key];
+        let channel = &self.channels[key];
         let is_idle = channel.live().is_empty();
         let wait = if channel.adopted && !is_idle && channel.unanswered_since.is_none() {
             INSPECT_WAIT
@@ -55,7 +55,7 @@
             Duration::ZERO
         };
         let number = self.inspect_after(now, state, key, wait);
-        let channel = self.channels.get_mut(&key).expect("known worker");
+        let channel = self.channels.get_mut(key).expect("known worker");
         channel.inspection = Some(number);
         // Unreachable workers are inspected again without waiting for the reply.
         channel.inspect_at = now.at + INSPECT_RETRY;
@@ -65,7 +65,7 @@
     fn inspect_after(&mut self, now: Now, state: &State, key: WorkerKey, wait: Duration) -> u64 {
         let lease = self.bounds.max_lease;
         let caught_up_to = self.caught_up_to;
-        let channel = self.channels.get_mut(&key).expect("known worker");
+        let channel = self.channels.get_mut(key).expect("known worker");
         // An unresponsive worker may still receive orders. Its lease is not renewed, so
         // that its runs expire and can start elsewhere.
         let until = if channel.is_unresponsive(caught_up_to) || channel.live().is_empty() {
@@ -93,7 +93,7 @@
 
     /// Schedules the acknowledgement of a worker's committed ends.
     pub(super) fn acknowledge_ends(&mut self, now: Now, key: WorkerKey) {
-        let Some(channel) = self.channels.get_mut(&key) else {
+        let Some(channel) = self.channels.get_mut(key) else {
             return;
         };
         if channel.has_uncommitted_ends() || channel.committed_end >= channel.proposed_end {
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -5,6 +5,7 @@
 
 mod ask;
 mod channel;
+mod channels;
 mod inspect;
 mod io;
 mod order;
@@ -17,10 +18,11 @@
 mod waiting;
 mod workers;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 pub use channel::{Channel, Live, Reading};
+pub use channels::Channels;
 pub use io::{
     Action, Answer, Call, Declined, Effect, EndRow, Lists, Note, Order, Permission,
     PermissionRequest, Query, Refusal, Reply, Request, RunningRow, Work,
@@ -89,7 +91,7 @@
     /// its own. Silence is counted up to this time.
     caught_up_to: Moment,
     bounds: Bounds,
-    channels: BTreeMap<WorkerKey, Channel>,
+    channels: Channels,
     /// Tasks with the workers that may have a run of them, ordered by task.
     assignments: BTreeSet<(TaskName, WorkerKey)>,
     racks: HashMap<String, u32>,
@@ -115,6 +117,9 @@
     /// Jobs whose cancellation is proposed and not yet committed.
     cancelling: HashSet<JobId>,
     submitting: HashMap<JobId, Vec<Call>>,
+    /// All jobs with tasks that are neither done nor on a worker. Others are removed by the
+    /// next planning round.
+    waiting_jobs: BTreeSet<JobId>,
     waits: waiting::Waits,
     /// Ends of runs to propose in the next round.
     ends: Vec<End>,
@@ -142,7 +147,7 @@
             since: now.at,
             caught_up_to: now.at,
             bounds,
-            channels: BTreeMap::new(),
+            channels: Channels::default(),
             assignments: BTreeSet::new(),
             racks: HashMap::new(),
             zones: HashMap::new(),
@@ -159,6 +164,7 @@
             reservations: HashMap::new(),
             cancelling: HashSet::new(),
             submitting: HashMap::new(),
+            waiting_jobs: state.open.clone(),
             waits: waiting::Waits::default(),
             ends: Vec::new(),
             ratios: HashMap::new(),
@@ -214,7 +220,7 @@
     }
 
     /// Returns the leader's view of each worker.
-    pub const fn channels(&self) -> &BTreeMap<WorkerKey, Channel> {
+    pub const fn channels(&self) -> &Channels {
         &self.channels
     }
 
@@ -307,6 +313,7 @@
             Command::Depart(worker) => self.departed(now, state, *worker, "another incarnation"),
             Command::Submit { submission, .. } => {
                 self.submitting.remove(&submission.id);
+                self.waiting_jobs.insert(submission.id);
             }
             Command::Cancel { job, .. } => {
                 self.cancelling.remove(job);
@@ -328,6 +335,7 @@
         let mut workers = BTreeSet::new();
         for end in ends {
             workers.insert(self.ended(state, end));
+            self.waiting_jobs.insert(end.task.step.job);
         }
         let interrupted: BTreeSet<JobId> = ends
             .iter()
--- a/src/core/plane/lead/permits.rs
+++ b/src/core/plane/lead/permits.rs
@@ -65,20 +65,58 @@
     pub permitted: BTreeMap<WorkerKey, Permit>,
     /// Workers that may not run the step.
     pub denied: BTreeSet<WorkerKey>,
-    /// Number of requests in flight.
-    pub in_flight: u32,
+    /// Time from which none of the permits may be used.
+    valid_until: Moment,
+    /// Requests in flight.
+    in_flight: Vec<Awaited>,
     /// Earliest time of the next request, after a failure or a deferral.
     pub retry_at: Moment,
 }
 
+impl StepPermits {
+    /// Returns the permitted ones of the workers, and those not named before. The workers
+    /// must be in ascending order.
+    pub fn split(&self, workers: &[WorkerKey]) -> (Vec<WorkerKey>, Vec<WorkerKey>) {
+        let mut permitted = self.permitted.keys().copied().peekable();
+        let mut denied = self.denied.iter().copied().peekable();
+        let mut split = (Vec::new(), Vec::with_capacity(workers.len()));
+        for &key in workers {
+            while permitted.next_if(|other| *other < key).is_some() {}
+            while denied.next_if(|other| *other < key).is_some() {}
+            if denied.peek() == Some(&key) {
+                continue;
+            }
+            if permitted.peek() == Some(&key) {
+                split.0.push(key);
+            } else {
+                split.1.push(key);
+            }
+        }
+        split
+    }
+}
+
+/// Request in flight, by its number, and when it becomes overdue.
 #[derive(Clone, Copy, Debug)]
+struct Awaited {
+    number: u64,
+    overdue_at: Moment,
+}
+
+#[derive(Clone, Debug, Default)]
 struct Requester {
     busy_until: Moment,
     /// Number of slow requests in flight.
     slow_in_flight: u32,
+    in_flight: Vec<Awaited>,
 }
 
 impl Requester {
+    fn has_overdue_request(&self, caught_up_to: Moment) -> bool {
+        let mut requests = self.in_flight.iter();
+        requests.any(|request| caught_up_to >= request.overdue_at)
+    }
+
     fn is_idle(&self, now: Moment) -> bool {
         self.slow_in_flight == 0 && self.busy_until <= now
     }
@@ -90,7 +128,6 @@
     requester: InstanceId,
     workers: Vec<WorkerKey>,
     sent_at: Moment,
-    overdue_at: Moment,
     times_out_at: Moment,
     validity: Duration,
     is_slow: bool,
@@ -146,10 +183,7 @@
     pub fn set_requesters(&mut self, instances: &[InstanceId]) {
         self.requesters.retain(|id, _| instances.contains(id));
         for id in instances {
-            self.requesters.entry(*id).or_insert(Requester {
-                busy_until: Moment::ZERO,
-                slow_in_flight: 0,
-            });
+            self.requesters.entry(*id).or_default();
         }
     }
 
@@ -180,26 +214,16 @@
     pub fn is_waiting(&self, now: Moment, step: StepName) -> bool {
         let step_permits = self.steps.get(&step);
         step_permits.is_some_and(|step_permits| {
-            step_permits.in_flight > 0 && self.has_timely_request(step)
+            let mut requests = step_permits.in_flight.iter();
+            requests.any(|request| self.caught_up_to < request.overdue_at)
                 || now < step_permits.retry_at
         })
     }
 
-    fn has_timely_request(&self, step: StepName) -> bool {
-        self.in_flight
-            .values()
-            .any(|request| request.step == step && self.caught_up_to < request.overdue_at)
-    }
-
-    fn has_overdue_request(&self, requester: InstanceId) -> bool {
-        self.in_flight.values().any(|request| {
-            request.requester == requester && self.caught_up_to >= request.overdue_at
-        })
-    }
-
     /// Returns the workers for which the step has a permit that is valid at `now`.
     pub fn valid_workers(&self, now: Moment, step: StepName) -> Vec<WorkerKey> {
-        let Some(step_permits) = self.steps.get(&step) else {
+        let known = self.steps.get(&step);
+        let Some(step_permits) = known.filter(|known| now < known.valid_until) else {
             return Vec::new();
         };
         step_permits
@@ -223,7 +247,7 @@
     /// Drops the steps for which `keep` returns false, except those with requests in flight.
     pub fn retain(&mut self, keep: impl Fn(StepName) -> bool) {
         self.steps
-            .retain(|step, step_permits| step_permits.in_flight > 0 || keep(*step));
+            .retain(|step, step_permits| !step_permits.in_flight.is_empty() || keep(*step));
     }
 
     /// Returns whether an instance can send a request at `now`.
@@ -274,7 +298,12 @@
         let entry = self.requesters.get_mut(&requester)?;
         entry.busy_until = entry.busy_until.max(now) + cost;
         entry.slow_in_flight += u32::from(is_slow);
-        self.steps.entry(step).or_default().in_flight += 1;
+        let awaited = Awaited {
+            number,
+            overdue_at: entry.busy_until + OVERDUE_AFTER,
+        };
+        entry.in_flight.push(awaited);
+        self.steps.entry(step).or_default().in_flight.push(awaited);
         let timeout = entry.busy_until.since(now) + cost + TIMEOUT_SLACK;
         let (keys, workers): (Vec<WorkerKey>, Vec<String>) =
             named.into_iter().take(WORKERS_PER_REQUEST_MAX).unzip();
@@ -285,7 +314,6 @@
                 requester,
                 workers: keys,
                 sent_at: now,
-                overdue_at: entry.busy_until + OVERDUE_AFTER,
                 times_out_at: now + timeout,
                 validity: Duration::from_millis(permission.valid_ms),
                 is_slow,
@@ -307,13 +335,13 @@
         if is_slow {
             let idle = self
                 .slow_requesters()
-                .find(|(id, r)| r.is_idle(now) && !self.has_overdue_request(**id));
+                .find(|(_, r)| r.is_idle(now) && !r.has_overdue_request(self.caught_up_to));
             return idle.map(|(&id, _)| id);
         }
         let (&id, requester) = self
             .requesters
             .iter()
-            .filter(|(id, _)| !self.has_overdue_request(**id))
+            .filter(|(_, r)| !r.has_overdue_request(self.caught_up_to))
             .min_by_key(|(_, r)| (r.busy_until.max(now), r.slow_in_flight))?;
         (requester.busy_until <= now + QUEUEING_DELAY_MAX).then_some(id)
     }
@@ -333,14 +361,15 @@
     ) -> Option<CompletedRequest> {
         let request = self.in_flight.remove(&number)?;
         let took = now.since(request.sent_at);
-        if let Some(requester) = self.requesters.get_mut(&request.requester)
-            && request.is_slow
-        {
-            requester.slow_in_flight = requester.slow_in_flight.saturating_sub(1);
-            requester.busy_until = requester.busy_until.min(now);
+        if let Some(requester) = self.requesters.get_mut(&request.requester) {
+            requester.in_flight.retain(|r| r.number != number);
+            if request.is_slow {
+                requester.slow_in_flight = requester.slow_in_flight.saturating_sub(1);
+                requester.busy_until = requester.busy_until.min(now);
+            }
         }
         let step_permits = self.steps.entry(request.step).or_default();
-        step_permits.in_flight = step_permits.in_flight.saturating_sub(1);
+        step_permits.in_flight.retain(|r| r.number != number);
         let completed = CompletedRequest {
             step: request.step,
             named: request.workers.len(),
@@ -361,8 +390,9 @@
                 step_permits.permitted.remove(worker);
             }
         }
+        let expires_at = now + lifetime;
+        step_permits.valid_until = step_permits.valid_until.max(expires_at);
         for (worker, text) in granted {
-            let expires_at = now + lifetime;
             step_permits
                 .permitted
                 .insert(worker, Permit { text, expires_at });
--- a/src/core/plane/lead/place.rs
+++ b/src/core/plane/lead/place.rs
@@ -100,6 +100,14 @@
 }
 
 impl Targets {
+    /// Returns an empty set with capacity for workers up to this number.
+    pub fn with_capacity(workers: usize) -> Self {
+        Self {
+            targets: Vec::with_capacity(workers),
+            examined: Cell::default(),
+        }
+    }
+
     /// Adds a worker, or replaces it if its key is already present.
     pub fn insert(&mut self, worker: WorkerKey, target: Target) {
         let index = worker.0 as usize;
@@ -326,6 +334,11 @@
                     .then_some((target.free.cpu, key))
             })
             .collect();
+        // Each worker takes at least one task.
+        if count < closest.len() {
+            closest.select_nth_unstable_by(count, |a, b| b.cmp(a));
+            closest.truncate(count);
+        }
         closest.sort_unstable_by(|a, b| b.cmp(a));
         let mut remaining = count;
         for (_, key) in closest {
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -99,6 +99,7 @@
 impl Lead {
     /// Plans one round. Returns the starts.
     pub(super) fn plan(&mut self, now: Now, state: &State) -> Vec<Start> {
+        self.remove_placed_jobs(state);
         let mut waiting = self.waiting_steps(now, state);
         if waiting.is_empty() {
             self.waits.record(now.at, Vec::new());
@@ -149,10 +150,20 @@
         round.starts
     }
 
+    // Removes the jobs whose tasks are all on workers or done, until one of its runs ends.
+    fn remove_placed_jobs(&mut self, state: &State) {
+        self.waiting_jobs.retain(|id| {
+            let Some(job) = state.jobs.get(id).filter(|job| !job.status.is_final()) else {
+                return false;
+            };
+            job.occurrences.iter().flatten().any(|s| s.waiting() > 0)
+        });
+    }
+
     fn waiting_steps(&self, now: Now, state: &State) -> Vec<PendingStep> {
         let is_over_share = over_share(state);
         let mut waiting = Vec::new();
-        for id in &state.open {
+        for id in &self.waiting_jobs {
             let job = &state.jobs[id];
             let queue = state.queue(job.queue);
             let over_share = job.account.is_some_and(|a| is_over_share[a.0 as usize]);
@@ -217,8 +228,8 @@
         self.urgent_cpu_peak =
             (self.urgent_cpu_peak * (1.0 - URGENT_DECAY_PER_ROUND)).max(urgent as f64);
         self.update_silent_zones();
-        let mut targets = Targets::default();
-        for (&key, channel) in &self.channels {
+        let mut targets = Targets::with_capacity(state.workers.len());
+        for (key, channel) in self.channels.iter() {
             let worker = state.worker(key);
             if self.silent_zones.contains(&channel.zone) {
                 continue;
@@ -474,7 +485,7 @@
         self.uncommitted_starts.insert(task, worker);
         self.reservations.insert(task, (room, need, account));
         *self.uncommitted_step_starts.entry(task.step).or_insert(0) += 1;
-        if let Some(channel) = self.channels.get_mut(&worker) {
+        if let Some(channel) = self.channels.get_mut(worker) {
             channel.reserved += room;
         }
         if let Some(account) = account {
@@ -497,7 +508,7 @@
         let Some((room, need, account)) = reservation else {
             return;
         };
-        if let Some(channel) = self.channels.get_mut(&worker) {
+        if let Some(channel) = self.channels.get_mut(worker) {
             channel.reserved -= room;
         }
         if let Some(account) = account
--- a/src/core/plane/lead/replies.rs
+++ b/src/core/plane/lead/replies.rs
@@ -23,7 +23,7 @@
             return;
         };
         let key = sent.worker;
-        let Some(channel) = self.channels.get_mut(&key) else {
+        let Some(channel) = self.channels.get_mut(key) else {
             return;
         };
         channel.end_wait(number);
@@ -46,14 +46,14 @@
     }
 
     fn suspend_inspections(&mut self, now: Now, key: WorkerKey) {
-        let channel = self.channels.get_mut(&key).expect("known worker");
+        let channel = self.channels.get_mut(key).expect("known worker");
         channel.adopted = false;
         channel.inspection = None;
         channel.inspect_at = now.at + IDLE_INSPECT_DELAY;
     }
 
     fn order_unanswered(&mut self, now: Now, state: &State, sent: SentOrder) {
-        let channel = self.channels.get_mut(&sent.worker).expect("known worker");
+        let channel = self.channels.get_mut(sent.worker).expect("known worker");
         channel.record_unanswered(sent.sent_at);
         let silent_ms = now.at.since(channel.heard_at).as_millis() as u64;
         self.note(Note::OrderLost {
@@ -74,7 +74,7 @@
         let key = sent.worker;
         match reply {
             Reply::Done(clock) => {
-                let channel = self.channels.get_mut(&key).expect("known worker");
+                let channel = self.channels.get_mut(key).expect("known worker");
                 channel.record_answer(now.at, *clock);
                 if let Some(live) = channel.run_mut(task, run) {
                     live.confirmed_at.get_or_insert(now.at);
@@ -91,7 +91,7 @@
             }
             Reply::NoAnswer | Reply::Replaced | Reply::Lists(..) => {
                 self.order_unanswered(now, state, sent);
-                let channel = self.channels.get_mut(&key).expect("known worker");
+                let channel = self.channels.get_mut(key).expect("known worker");
                 if let Some(live) = channel.run_mut(task, run) {
                     live.in_doubt = true;
                 }
@@ -103,12 +103,12 @@
     // Schedules an inspection. An unreachable worker gets no new runs before it answers
     // one.
     fn inspect_soon(&mut self, now: Now, key: WorkerKey) {
-        let channel = self.channels.get_mut(&key).expect("known worker");
+        let channel = self.channels.get_mut(key).expect("known worker");
         channel.inspect_at = channel.inspect_at.min(now.at + INSPECT_RETRY);
     }
 
     fn declined(&mut self, now: Now, state: &State, key: WorkerKey, task: TaskName, why: Declined) {
-        let channel = self.channels.get_mut(&key).expect("known worker");
+        let channel = self.channels.get_mut(key).expect("known worker");
         match why {
             Declined::Permit => self.permits.invalidate(task.step, key),
             Declined::Unhealthy | Declined::Malformed => {
@@ -138,7 +138,7 @@
             self.order_unanswered(now, state, sent);
             return;
         }
-        let channel = self.channels.get_mut(&sent.worker).expect("known worker");
+        let channel = self.channels.get_mut(sent.worker).expect("known worker");
         if let Reply::Done(clock) = reply {
             channel.record_answer(now.at, *clock);
             let mut is_absent = false;
@@ -166,7 +166,7 @@
         reply: Reply,
     ) {
         let key = sent.worker;
-        let channel = self.channels.get_mut(&key).expect("known worker");
+        let channel = self.channels.get_mut(key).expect("known worker");
         if channel.inspection == Some(number) {
             channel.inspection = None;
         }
@@ -200,7 +200,7 @@
     }
 
     fn schedule_inspection(&mut self, now: Now, key: WorkerKey) {
-        let channel = self.channels.get_mut(&key).expect("known worker");
+        let channel = self.channels.get_mut(key).expect("known worker");
         let has_uncommitted_ends = channel.has_uncommitted_ends();
         channel.inspect_at = if has_uncommitted_ends {
             // Rescheduled earlier once the ends are committed.
@@ -230,7 +230,7 @@
         for row in &lists.running {
             unexpected += usize::from(!self.process_running(now, state, key, row));
         }
-        let channel = self.channels.get_mut(&key).expect("known worker");
+        let channel = self.channels.get_mut(key).expect("known worker");
         channel.unexpected = unexpected;
         for row in &lists.ended {
             if self.is_being_given_up(key, row) {
@@ -254,7 +254,7 @@
         key: WorkerKey,
         row: &RunningRow,
     ) -> bool {
-        let channel = self.channels.get_mut(&key).expect("known worker");
+        let channel = self.channels.get_mut(key).expect("known worker");
         let Some(live) = channel.run_mut(row.task, row.run) else {
             self.stop(now, state, key, row.task, row.run, "unknown to the leader");
             return false;
@@ -273,14 +273,14 @@
 
     // Returns whether a run that succeeded is about to be recorded as given up.
     fn is_being_given_up(&self, key: WorkerKey, row: &EndRow) -> bool {
-        let live = self.channels[&key].live().get(&row.task);
+        let live = self.channels[key].live().get(&row.task);
         row.how == Termination::Done
             && live.is_some_and(|live| live.run == row.run && live.given_up)
     }
 
     fn process_end(&mut self, now: Now, state: &State, key: WorkerKey, row: &EndRow) {
         self.restore_given_up(now, state, key, row);
-        let channel = self.channels.get_mut(&key).expect("known worker");
+        let channel = self.channels.get_mut(key).expect("known worker");
         channel.proposed_end = channel.proposed_end.max(row.number);
         if !channel.begin_end(row.task, row.run) {
             return;
@@ -309,7 +309,7 @@
             let job = state.jobs.get(&row.task.step.job);
             job.is_some_and(|job| job.is_given_up(row.task, row.run))
         };
-        let channel = self.channels.get_mut(&key).expect("known worker");
+        let channel = self.channels.get_mut(key).expect("known worker");
         if row.how != Termination::Done || channel.live().contains_key(&row.task) || !is_given_up()
         {
             return;
@@ -338,7 +338,7 @@
         let Some((spec, _, task)) = job.task(row.task) else {
             return;
         };
-        let channel = self.channels.get_mut(&key).expect("known worker");
+        let channel = self.channels.get_mut(key).expect("known worker");
         match row.how {
             Termination::Done if !spec.long_running => {
                 let took = live
@@ -392,7 +392,7 @@
         is_first: bool,
         lists: &Lists,
     ) {
-        let channel = &self.channels[&key];
+        let channel = &self.channels[key];
         let before = |at: Option<Moment>| at.is_some_and(|at| at < sent_at);
         let mut voids = Vec::new();
         let mut stops = Vec::new();
--- a/src/core/plane/lead/requests.rs
+++ b/src/core/plane/lead/requests.rs
@@ -2,7 +2,7 @@
 
 use super::io::{Action, Answer, Call, Effect, Note, Query, Refusal, Request};
 use super::{Lead, Now};
-use crate::core::plane::job::{Status, Submission};
+use crate::core::plane::job::{Job, Status, Submission};
 use crate::core::plane::plan::Queue;
 use crate::core::plane::state::{Command, State};
 use crate::core::plane::types::{JobId, WorkerKey};
@@ -69,7 +69,7 @@
         let tail = &request.path[queue.prefix.len()..];
         if tail.is_empty() {
             let answer = match request.action {
-                Action::Show => Answer::Pending(pending(state, queue)),
+                Action::Show => Answer::Pending(self.pending(state, queue)),
                 _ => Answer::Malformed("the path contains no job id".to_owned()),
             };
             self.answer(call, answer);
@@ -174,7 +174,7 @@
                 || same_incarnation && report.sequence < worker.report.sequence;
             let has_changes = !(worker.departed
                 || same_incarnation && report.equals_except_sequence(&worker.report));
-            if let Some(channel) = self.channels.get_mut(&key)
+            if let Some(channel) = self.channels.get_mut(key)
                 && same_incarnation
             {
                 channel.reported_at = now.at;
@@ -195,7 +195,7 @@
 
     fn process_departure(&mut self, now: Now, state: &State, call: Call, id: &str) {
         if let Some(key) = state.worker_keys.get(id)
-            && let Some(channel) = self.channels.get_mut(key)
+            && let Some(channel) = self.channels.get_mut(*key)
         {
             channel.departing.get_or_insert(now.at);
             self.note(Note::WorkerGone {
@@ -206,6 +206,18 @@
         self.answer(call, Answer::Done);
     }
 
+    // Returns the number of a queue's jobs of which no task has started.
+    fn pending(&self, state: &State, queue: &Queue) -> u64 {
+        let is_pending = |id: &&JobId| {
+            let job = state.jobs.get(id);
+            let is_pending = |job: &Job| {
+                job.status == Status::Queued && state.queue(job.queue).name == queue.name
+            };
+            job.is_some_and(is_pending)
+        };
+        self.waiting_jobs.iter().filter(is_pending).count() as u64
+    }
+
     pub(super) fn propose(&mut self, command: Command, answers: Vec<(Call, Answer)>) {
         self.effects.push(Effect::Propose(command, answers));
     }
@@ -245,11 +257,3 @@
         None => Answer::Gone,
     }
 }
-
-fn pending(state: &State, queue: &Queue) -> u64 {
-    let is_pending = |id: &&JobId| {
-        let job = &state.jobs[id];
-        job.status == Status::Queued && state.queue(job.queue).name == queue.name
-    };
-    state.open.iter().filter(is_pending).count() as u64
-}
--- a/src/core/plane/lead/silence.rs
+++ b/src/core/plane/lead/silence.rs
@@ -4,7 +4,7 @@
 //! unanswered for its whole timeout, starts would be sent to workers that cannot receive
 //! them, and their jobs would be late by a whole lease.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use super::Lead;
 use super::io::Note;
@@ -18,22 +18,22 @@
     /// Updates the availability zones that are silent: several of their workers owe a
     /// reply, and no worker has answered or reported since.
     pub(super) fn update_silent_zones(&mut self) {
-        let mut latest_contact: BTreeMap<u32, Moment> = BTreeMap::new();
+        let mut latest_contact = vec![Moment::ZERO; self.zones.len()];
         for channel in self.channels.values() {
-            let latest = latest_contact.entry(channel.zone).or_default();
+            let latest = &mut latest_contact[channel.zone as usize];
             *latest = channel.heard_at.max(channel.reported_at).max(*latest);
         }
-        let mut silent_workers: BTreeMap<u32, usize> = BTreeMap::new();
+        let mut silent_workers = vec![0; self.zones.len()];
         for channel in self.channels.values() {
-            let is_latest = channel
-                .silent_since()
-                .is_some_and(|since| since >= latest_contact[&channel.zone]);
-            if is_latest && channel.is_silent(self.caught_up_to) {
-                *silent_workers.entry(channel.zone).or_default() += 1;
+            let zone = channel.zone as usize;
+            let is_latest = |since: Moment| since >= latest_contact[zone];
+            if channel.is_silent(self.caught_up_to) && channel.silent_since().is_some_and(is_latest)
+            {
+                silent_workers[zone] += 1;
             }
         }
-        let silent: BTreeSet<u32> = silent_workers
-            .into_iter()
+        let silent: BTreeSet<u32> = (0..)
+            .zip(silent_workers)
             .filter(|(_, workers)| *workers >= SILENT_WORKERS_MIN)
             .map(|(zone, _)| zone)
             .collect();
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -38,12 +38,19 @@
         if check_runs {
             self.runs_checked_at = now.at;
         }
-        let keys: Vec<WorkerKey> = self.channels.keys().copied().collect();
-        for key in keys {
+        let caught_up_to = self.caught_up_to;
+        let is_due = |channel: &Channel| check_runs || channel.is_due(now.at, caught_up_to);
+        let due: Vec<WorkerKey> = self
+            .channels
+            .iter()
+            .filter(|(_, channel)| is_due(channel))
+            .map(|(key, _)| key)
+            .collect();
+        for key in due {
             let worker = state.worker(key);
-            let channel = self.channels.get_mut(&key).expect("listed above");
+            let channel = self.channels.get_mut(key).expect("listed above");
             if worker.departed && channel.live().is_empty() {
-                self.channels.remove(&key);
+                self.channels.remove(key);
                 continue;
             }
             let departs = channel
@@ -59,7 +66,7 @@
                 self.end_all_as_void(key, state, "lease expiry");
             }
             self.probe_if_overdue(now, state, key);
-            let channel = self.channels.get_mut(&key).expect("not removed above");
+            let channel = self.channels.get_mut(key).expect("not removed above");
             let is_due = now.at >= channel.inspect_at
                 || channel.unanswered_since.is_none()
                     && channel.needs_inspection(self.caught_up_to);
@@ -73,11 +80,13 @@
                 self.tick_runs(now, state, key);
             }
         }
-        self.permits.retain(|step| state.open.contains(&step.job));
+        if check_runs {
+            self.permits.retain(|step| state.open.contains(&step.job));
+        }
     }
 
     fn tick_runs(&mut self, now: Now, state: &State, key: WorkerKey) {
-        let channel = &self.channels[&key];
+        let channel = &self.channels[key];
         let mut stops = Vec::new();
         let mut stuck = 0;
         for (&task, live) in channel.live() {
@@ -100,7 +109,7 @@
         if stops.is_empty() {
             return;
         }
-        let channel = self.channels.get_mut(&key).expect("known worker");
+        let channel = self.channels.get_mut(key).expect("known worker");
         if stuck > 0
             && let Some(wait) = channel.record_failure(now.at, STUCK_FAILURE_WEIGHT)
         {
@@ -141,7 +150,7 @@
                 ..sent
             },
         );
-        if let Some(channel) = self.channels.get_mut(&key) {
+        if let Some(channel) = self.channels.get_mut(key) {
             channel.await_reply(number, now.at + wait);
         }
         self.effects.push(Effect::Order(order));
@@ -155,7 +164,7 @@
         let Some(record) = assigned_worker.runs.get(&task).filter(|r| r.run == run) else {
             return;
         };
-        let Some(channel) = self.channels.get_mut(&worker) else {
+        let Some(channel) = self.channels.get_mut(worker) else {
             return;
         };
         let live = Live {
@@ -214,7 +223,7 @@
         run: u32,
         why: &'static str,
     ) {
-        if let Some(channel) = self.channels.get_mut(&key)
+        if let Some(channel) = self.channels.get_mut(key)
             && let Some(live) = channel.run_mut(task, run)
         {
             live.stop_at = Some(now.at);
@@ -252,7 +261,7 @@
             .copied()
             .collect();
         for (task, key) in assigned {
-            let found = self.channels.get(&key).and_then(|c| c.live().get(&task));
+            let found = self.channels.get(key).and_then(|c| c.live().get(&task));
             let Some(live) = found.filter(|l| !l.ending && l.stop_at.is_none()) else {
                 continue;
             };
@@ -272,7 +281,7 @@
         run: u32,
         by: &'static str,
     ) {
-        let Some(channel) = self.channels.get_mut(&key) else {
+        let Some(channel) = self.channels.get_mut(key) else {
             return;
         };
         if !channel.begin_end(task, run) {
@@ -300,7 +309,7 @@
     }
 
     fn end_all_as_void(&mut self, key: WorkerKey, state: &State, by: &'static str) {
-        let channel = &self.channels[&key];
+        let channel = &self.channels[key];
         let runs: Vec<(TaskName, u32)> = channel
             .live()
             .iter()
@@ -332,7 +341,7 @@
             .map(|(_, key)| *key)
             .collect();
         for key in assigned {
-            let channel = self.channels.get_mut(&key).expect("known worker");
+            let channel = self.channels.get_mut(key).expect("known worker");
             let is_match = channel
                 .run_mut(end.task, end.run)
                 .is_some_and(|live| live.from.unwrap_or(key) == end.worker);
@@ -351,7 +360,7 @@
     // ended.
     fn replace(&mut self, now: Now, state: &State, old: WorkerKey, new: WorkerKey) {
         let same_id = state.worker(old).report.id == state.worker(new).report.id;
-        let runs: Vec<(TaskName, Live)> = self.channels[&old]
+        let runs: Vec<(TaskName, Live)> = self.channels[old]
             .live()
             .iter()
             .filter(|(_, live)| same_id && !live.listed && !live.ending)
@@ -360,11 +369,11 @@
         let all_ended_by = self.all_ended_by(now.at);
         for (task, live) in runs {
             self.channels
-                .get_mut(&old)
+                .get_mut(old)
                 .expect("known worker")
                 .remove(task);
             self.assignments.remove(&(task, old));
-            let channel = self.channels.get_mut(&new).expect("known worker");
+            let channel = self.channels.get_mut(new).expect("known worker");
             channel.all_ended_by = channel.all_ended_by.max(all_ended_by);
             let inherited = Live {
                 run: live.run,
@@ -387,8 +396,10 @@
         };
         let worker = state.worker(key);
         let (rack, zone) = (self.rack(worker), self.zone(worker));
-        let created = Channel::new(now.at, now.at, rack, zone);
-        self.channels.entry(key).or_insert(created);
+        if !self.channels.contains(key) {
+            let created = Channel::new(now.at, now.at, rack, zone);
+            self.channels.insert(key, created);
+        }
         let superseded: Vec<WorkerKey> = state
             .live_workers()
             .filter(|(other, w)| {
@@ -404,7 +415,6 @@
         let ended: Vec<WorkerKey> = self
             .channels
             .keys()
-            .copied()
             .filter(|&other| state.worker(other).departed)
             .collect();
         for other in ended {
@@ -413,7 +423,7 @@
     }
 
     pub(super) fn departed(&mut self, _now: Now, state: &State, key: WorkerKey, by: &'static str) {
-        if self.channels.contains_key(&key) {
+        if self.channels.contains(key) {
             self.end_all_as_void(key, state, by);
         }
     }
