--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -82,6 +82,10 @@
 /// times, a timer once or twice.
 const EXCHANGE_DELAY_FACTOR: u32 = 5;
 
+/// Delay of a timer from which on the leader places only the most urgent steps. Each start costs
+/// an exchange with its worker, so that other starts would delay those steps further.
+const BEHIND_DELAY_MIN: Duration = Duration::from_millis(20);
+
 /// Leader of the task plane for one term.
 #[derive(Debug)]
 pub struct Lead {
@@ -90,6 +94,8 @@
     /// Time up to which the leader has handled what it would have received without a delay of
     /// its own. Silence is counted up to this time.
     caught_up_to: Moment,
+    /// Delay of the latest timer.
+    delay: Duration,
     bounds: Bounds,
     channels: Channels,
     /// Tasks with the workers that may have a run of them, ordered by task.
@@ -146,6 +152,7 @@
             fence,
             since: now.at,
             caught_up_to: now.at,
+            delay: Duration::ZERO,
             bounds,
             channels: Channels::default(),
             assignments: BTreeSet::new(),
@@ -246,8 +253,8 @@
     /// Handles the expiry of a timer that waits for the processor like any other input. While
     /// the leader is behind, its workers are not considered silent.
     pub fn handle_delay_timer(&mut self, now: Now, expired_at: Moment) {
-        let delay = now.at.since(expired_at);
-        let caught_up_to = now.at - delay * EXCHANGE_DELAY_FACTOR;
+        self.delay = now.at.since(expired_at);
+        let caught_up_to = now.at - self.delay * EXCHANGE_DELAY_FACTOR;
         self.caught_up_to = self.caught_up_to.max(caught_up_to);
         self.permits.set_caught_up_to(self.caught_up_to);
     }
@@ -453,6 +460,10 @@
         self.planned_at + interval
     }
 
+    fn is_behind(&self) -> bool {
+        self.delay >= BEHIND_DELAY_MIN
+    }
+
     fn update_ratio(&mut self, queue: &str, ratio: f64) {
         let known = self.ratios.entry(queue.to_owned()).or_insert(1.0);
         *known += ESTIMATE_WEIGHT * (ratio.clamp(0.1, 10.0) - *known);
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -25,8 +25,8 @@
 const URGENT_DECAY_PER_ROUND: f64 = 0.0014;
 
 /// Number of workers and steps examined after which a round ends and leaves the other steps
-/// to the next.
-const EXAMINED_MAX: u32 = 60_000;
+/// to the next. The least urgent steps come last, so that they do not hold up replies.
+const EXAMINED_MAX: u32 = 15_000;
 
 /// Capacity reserved for a gang that waits.
 #[derive(Clone, Debug)]
@@ -118,6 +118,7 @@
             starts: Vec::new(),
             eligible: HashMap::new(),
         };
+        let first_priority = state.config.queues.iter().map(|q| q.priority).min();
         let mut group = None;
         let mut left = Vec::new();
         let mut searched = 0;
@@ -127,7 +128,10 @@
                 round.apply_reserves();
             }
             group = Some(next);
-            if let Some(outcome) = self.outcome_without_search(now, state, step, &round) {
+            let can_wait = step.rank.lateness > 0 || Some(step.rank.priority) > first_priority;
+            let is_deferred = self.is_behind() && can_wait;
+            let known = self.outcome_without_search(now, state, step, &round, is_deferred);
+            if let Some(outcome) = known {
                 if let Some(reserve) = outcome.reserve.as_ref().filter(|_| round.may_reserve()) {
                     round.reserve(reserve);
                 }
@@ -267,6 +271,7 @@
         state: &State,
         pending: &PendingStep,
         round: &Round,
+        is_deferred: bool,
     ) -> Option<Outcome> {
         let PendingStep { step, count, .. } = *pending;
         let wait = |reason| Outcome {
@@ -283,6 +288,9 @@
         if let Some(outcome) = self.waits.outcome(now.at, step, count) {
             return Some(outcome.clone());
         }
+        if is_deferred {
+            return Some(wait(WaitReason::LeaderBehind));
+        }
         (round.targets.examined() > EXAMINED_MAX).then(|| wait(WaitReason::RoundLimit))
     }
 
--- a/src/core/plane/lead/waiting.rs
+++ b/src/core/plane/lead/waiting.rs
@@ -37,6 +37,8 @@
     Room,
     /// The round ended before it came to the step.
     RoundLimit,
+    /// The leader is behind and places only the most urgent steps.
+    LeaderBehind,
 }
 
 /// Outcome of a search that left tasks of a step waiting.
