--- a/src/cell/control/log.rs
+++ b/src/cell/control/log.rs
@@ -7,7 +7,7 @@
 use crate::cell::storage::{Completion, Request};
 use crate::core::consensus::{ElectionEvent, Ready};
 use crate::core::plane::codec;
-use crate::core::plane::state::{Command, State};
+use crate::core::plane::state::Command;
 use crate::wire::{Body, Entry, Raft};
 
 impl<P: Transport> Control<P> {
@@ -115,7 +115,7 @@
     }
 
     pub(super) fn restore_snapshot(&mut self, index: u64, data: &[u8]) {
-        match codec::decode::<State>(data) {
+        match codec::decode_state(data) {
             Ok(state) => {
                 self.state = state;
                 self.state.applied = index;
--- a/src/cell/control/mod.rs
+++ b/src/cell/control/mod.rs
@@ -226,7 +226,7 @@
 }
 
 fn decode_state(data: &[u8]) -> Result<State> {
-    codec::decode(data).map_err(|err| {
+    codec::decode_state(data).map_err(|err| {
         let message = format!("state in the stored snapshot cannot be decoded: {err}");
         crate::error::Error::new(crate::error::Kind::Internal, message)
     })
--- a/src/core/plane/codec.rs
+++ b/src/core/plane/codec.rs
@@ -4,6 +4,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use super::state::State;
+
 /// Encodes a value for the log, a snapshot or a message to another instance.
 pub fn encode<T: Serialize>(value: &T) -> Bytes {
     postcard::to_allocvec(value)
@@ -19,3 +21,13 @@
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, postcard::Error> {
     postcard::from_bytes(bytes)
 }
+
+/// Decodes a state, also one that was encoded before the state had a record of crashes.
+///
+/// # Errors
+///
+/// Fails if the bytes do not encode a state.
+pub fn decode_state(bytes: &[u8]) -> Result<State, postcard::Error> {
+    // The record is the last field, and an empty one is encoded as a zero.
+    decode(bytes).or_else(|err| decode(&[bytes, &[0]].concat()).map_err(|_: postcard::Error| err))
+}
--- a/src/core/plane/job.rs
+++ b/src/core/plane/job.rs
@@ -200,7 +200,7 @@
     Running,
     /// All tasks are done.
     Completed,
-    /// A task or gang used up its attempts.
+    /// A task or gang used up its attempts, or crashed its workers.
     Failed,
     /// Cancelled by the caller.
     Cancelled,
--- a/src/core/plane/lead/channel.rs
+++ b/src/core/plane/lead/channel.rs
@@ -203,6 +203,8 @@
     pub slowness: f64,
     /// Time at which the worker announced that it shuts down.
     pub departing: Option<Moment>,
+    /// Time until which a task that may have crashed a worker has this one to itself.
+    pub trial_until: Moment,
 }
 
 impl Channel {
@@ -239,6 +241,7 @@
             excluded_until: Moment::ZERO,
             slowness: 1.0,
             departing: None,
+            trial_until: Moment::ZERO,
         }
     }
 
@@ -247,6 +250,18 @@
         &self.live
     }
 
+    /// Returns the runs whose end is not proposed.
+    pub fn unended(&self) -> impl Iterator<Item = (TaskName, Live)> {
+        let runs = self.live.iter().filter(|(_, live)| !live.ending);
+        runs.map(|(&task, &live)| (task, live))
+    }
+
+    /// Returns whether a task on trial has the worker to itself. It does until the worker has
+    /// answered after the time of the trial.
+    pub fn is_on_trial(&self) -> bool {
+        self.heard_at < self.trial_until && !self.live.is_empty()
+    }
+
     /// Returns a run of a task for modification, if it has this run number.
     pub fn run_mut(&mut self, task: TaskName, run: u32) -> Option<&mut Live> {
         self.live.get_mut(&task).filter(|live| live.run == run)
--- a/src/core/plane/lead/inspect.rs
+++ b/src/core/plane/lead/inspect.rs
@@ -13,6 +13,9 @@
 pub(super) const INSPECT_WAIT: Duration = Duration::from_millis(800);
 /// Delay before a worker that did not reply is inspected again.
 pub(super) const INSPECT_RETRY: Duration = Duration::from_millis(250);
+/// Interval of the inspections of a worker with a task on trial. If it crashes, they tell how
+/// long the task ran.
+pub(super) const TRIAL_INSPECT_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay of an inspection that only acknowledges committed ends.
 pub(super) const ACKNOWLEDGE_DELAY: Duration = Duration::from_millis(40);
 
@@ -44,12 +47,13 @@
         self.inspect_after(now, state, key, Duration::ZERO);
     }
 
-    /// Inspects a worker. It may delay its reply until a run ends, unless it is idle or has
-    /// left an order unanswered.
+    /// Inspects a worker. It may delay its reply until a run ends, unless it is idle, has a task
+    /// on trial or has left an order unanswered.
     pub(super) fn inspect(&mut self, now: Now, state: &State, key: WorkerKey) {
         let channel = &self.channels[key];
         let is_idle = channel.live().is_empty();
-        let wait = if channel.adopted && !is_idle && channel.unanswered_since.is_none() {
+        let may_wait = !is_idle && !channel.is_on_trial();
+        let wait = if channel.adopted && may_wait && channel.unanswered_since.is_none() {
             INSPECT_WAIT
         } else {
             Duration::ZERO
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -15,6 +15,7 @@
 mod replies;
 mod requests;
 mod silence;
+mod trial;
 mod waiting;
 mod workers;
 
--- a/src/core/plane/lead/place.rs
+++ b/src/core/plane/lead/place.rs
@@ -56,6 +56,10 @@
     /// Whether the worker runs a best-effort task, which uses only processor time that other
     /// tasks leave idle.
     pub best_effort: bool,
+    /// Whether anything runs on the worker.
+    pub busy: bool,
+    /// Whether the worker is kept for tasks that need it to themselves.
+    pub kept: bool,
 }
 
 /// Resources and constraints of the tasks to place, all of one step.
@@ -79,6 +83,8 @@
     pub serving: bool,
     /// Whether the tasks are best-effort, using only processor time that others leave idle.
     pub best_effort: bool,
+    /// Whether the tasks share workers with no other step.
+    pub exclusive: bool,
 }
 
 /// Workers selected for the tasks of a step.
@@ -152,6 +158,8 @@
             target.free_non_urgent -= required.resources;
             target.serving |= required.serving;
             target.best_effort |= required.best_effort;
+            target.busy = true;
+            target.kept |= required.exclusive;
         }
     }
 
@@ -164,6 +172,7 @@
         // Best-effort tasks would slow down serving tasks, so the two never share a
         // worker.
         required.resources.fits(free)
+            && !(target.kept && !required.exclusive || target.busy && required.exclusive)
             && !(required.serving && target.best_effort || required.best_effort && target.serving)
     }
 
@@ -316,6 +325,23 @@
         }
     }
 
+    /// Keeps up to `count` workers for tasks that need them to themselves: those with the least
+    /// processor time in use. Workers that cannot run such a task are left out.
+    pub fn keep(&mut self, count: usize, allowed: &[WorkerKey], required: &Requirement) {
+        let mut least_used: Vec<(i64, WorkerKey)> = allowed
+            .iter()
+            .filter_map(|&key| Some((key, self.get(key)?)))
+            .filter(|(_, target)| required.resources.fits(&target.capacity) && !target.kept)
+            .map(|(key, target)| (target.capacity.cpu - target.free.cpu, key))
+            .collect();
+        least_used.sort_unstable();
+        for (_, key) in least_used.into_iter().take(count) {
+            if let Some(target) = self.get_mut(key) {
+                target.kept = true;
+            }
+        }
+    }
+
     /// Returns the total processor capacity of the workers, in thousandths of a core.
     pub fn total_cpu(&self) -> i64 {
         self.iter().map(|(_, target)| target.capacity.cpu).sum()
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -7,6 +7,7 @@
 
 use super::order::{Rank, Timing, rank};
 use super::place::{Requirement, Target, Targets};
+use super::trial::Trial;
 use super::waiting::{Outcome, WaitReason, search_interval};
 use super::{Lead, Now};
 use crate::core::plane::job::{Job, Phase, Step, StepSpec};
@@ -40,8 +41,8 @@
 }
 
 /// State of one planning round.
-struct Round {
-    targets: Targets,
+pub(super) struct Round {
+    pub(super) targets: Targets,
     /// Reserves of the group of steps being planned.
     reserves: Vec<Arc<Reserve>>,
     /// Processors reserved so far and their maximum, in thousandths of a core.
@@ -118,6 +119,7 @@
             starts: Vec::new(),
             eligible: HashMap::new(),
         };
+        self.keep_workers_for_trials(state, &waiting, &mut round);
         let first_priority = state.config.queues.iter().map(|q| q.priority).min();
         let mut group = None;
         let mut left = Vec::new();
@@ -256,6 +258,8 @@
                 failure_score: channel.failures(now.at),
                 serving: channel.serving > 0,
                 best_effort: channel.best_effort > 0,
+                busy: !channel.live().is_empty() || channel.reserved != Resources::default(),
+                kept: channel.is_on_trial(),
             };
             targets.insert(key, target);
         }
@@ -318,22 +322,34 @@
         let permitted = queue
             .permission
             .map(|_| self.permits.valid_workers(now.at, name));
+        let trial = self.trial(state, name);
+        if trial == Trial::Running && !spec.gang {
+            return wait(WaitReason::Trial, 0, None);
+        }
+        let suspects = match &trial {
+            Trial::Waiting(suspects) => suspects.as_slice(),
+            Trial::None | Trial::Running => &[],
+        };
         let required = Requirement {
             single_zone: self.outlasted_by_lease(job, queue, name),
-            ..requirement(spec, queue, &self.racks, self.bounds.far_factor)
+            ..self.requirement(spec, queue, !suspects.is_empty())
         };
         if permitted.as_ref().is_some_and(Vec::is_empty) && self.permits.is_waiting(now.at, name) {
             let reserve = self.reserve_room(pending, spec, &required, &[], round);
             return wait(WaitReason::Permit, 0, reserve);
         }
-        let count = self.count_within_cap(state, job, spec, pending.count);
+        let mut count = self.count_within_cap(state, job, spec, pending.count);
+        if required.exclusive && !spec.gang {
+            // One at a time: the first crash may end the job.
+            count = count.min(1);
+        }
         let eligible = eligible(state, round, job, spec);
         let allowed = permitted.as_ref().unwrap_or(&eligible);
         let existing = self.tasks_by_worker(state, name, spec);
         let found = round.targets.find(&required, count, allowed, &existing);
         let is_complete = found.len() == pending.count;
         if !spec.gang || is_complete {
-            self.start_tasks(state, name, &found, &required, round);
+            self.start_tasks(state, name, &found, &required, suspects, round);
         }
         if is_complete {
             return None;
@@ -341,7 +357,11 @@
         let placed = if spec.gang { 0 } else { found.len() };
         if let Some(permission) = queue.permission {
             let targets = &round.targets;
-            let wanted = pending.count - placed;
+            let wanted = if required.exclusive && !spec.gang {
+                1
+            } else {
+                pending.count - placed
+            };
             self.request_permits(
                 now, state, name, &required, permission, &eligible, targets, &existing, wanted,
             );
@@ -356,6 +376,35 @@
         wait(reason, placed, reserve)
     }
 
+    fn requirement(&self, spec: &StepSpec, queue: &Queue, exclusive: bool) -> Requirement {
+        let required = requirement(spec, queue, &self.racks, self.bounds.far_factor);
+        let max_per_worker = if exclusive && !spec.gang {
+            Some(1)
+        } else {
+            required.max_per_worker
+        };
+        Requirement {
+            max_per_worker,
+            exclusive,
+            ..required
+        }
+    }
+
+    /// Returns what the suspects of a step need, and the workers that they may run on.
+    pub(super) fn trial_workers(
+        &self,
+        state: &State,
+        pending: &PendingStep,
+        round: &mut Round,
+    ) -> Option<(Requirement, Vec<WorkerKey>)> {
+        let job = &state.jobs[&pending.step.job];
+        let (spec, _) = job.step(pending.step)?;
+        let required = self.requirement(spec, state.queue(job.queue), true);
+        let permitted = self.permitted_workers(pending.step, &round.targets);
+        let allowed = permitted.unwrap_or_else(|| eligible(state, round, job, spec).to_vec());
+        Some((required, allowed))
+    }
+
     // Returns whether a job with independent tasks cannot meet its goal if one of its workers is cut off until the
     // lease expires. The fewer availability zones the tasks of such a job are in, the fewer
     // jobs a cut makes late.
@@ -447,6 +496,7 @@
         name: StepName,
         found: &[WorkerKey],
         required: &Requirement,
+        suspects: &[TaskName],
         round: &mut Round,
     ) {
         let job = &state.jobs[&name.job];
@@ -459,7 +509,10 @@
                 step: name,
                 index: *index,
             };
-            task.phase == Phase::Waiting && !self.uncommitted_starts.contains_key(&task_name)
+            let is_chosen = spec.gang || suspects.is_empty() || suspects.contains(&task_name);
+            is_chosen
+                && task.phase == Phase::Waiting
+                && !self.uncommitted_starts.contains_key(&task_name)
         });
         let pairs: Vec<(u16, u32, WorkerKey)> = indexes
             .zip(found)
@@ -543,6 +596,7 @@
         single_zone: false,
         serving: spec.target_ms > 0,
         best_effort: spec.best_effort,
+        exclusive: false,
     }
 }
 
--- a/src/core/plane/lead/replies.rs
+++ b/src/core/plane/lead/replies.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::channel::{Live, Progress};
-use super::inspect::{ACKNOWLEDGE_DELAY, INSPECT_RETRY};
+use super::inspect::{ACKNOWLEDGE_DELAY, INSPECT_RETRY, TRIAL_INSPECT_INTERVAL};
 use super::io::{Declined, EndRow, Lists, Note, Reply, RunningRow, SentOrder};
 use super::workers::{REPLY_TIMEOUT, is_wanted};
 use super::{Lead, Now};
@@ -205,6 +205,8 @@
         channel.inspect_at = if has_uncommitted_ends {
             // Rescheduled earlier once the ends are committed.
             now.at + REPLY_TIMEOUT
+        } else if channel.is_on_trial() {
+            now.at + TRIAL_INSPECT_INTERVAL
         } else if !channel.live().is_empty() {
             now.at
         } else if channel.unexpected > 0 {
--- a/src/core/plane/lead/waiting.rs
+++ b/src/core/plane/lead/waiting.rs
@@ -37,6 +37,8 @@
     Room,
     /// The round ended before it came to the step.
     RoundLimit,
+    /// A task of the step may have crashed a worker and is on trial.
+    Trial,
     /// The leader is behind and places only the most urgent steps.
     LeaderBehind,
 }
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -5,6 +5,7 @@
 use super::channel::{Channel, Live, Traits};
 use super::inspect::INSPECT_WAIT;
 use super::io::{Effect, Note, Order, SentOrder, Work};
+use super::trial::TRIAL;
 use super::{Lead, Now};
 use crate::core::plane::job::{Phase, Status};
 use crate::core::plane::state::{Command, End, Start, State};
@@ -29,6 +30,9 @@
 /// Weight of a stuck run in the failure score: high enough to exclude the worker from
 /// placement at once.
 const STUCK_FAILURE_WEIGHT: f64 = 2.0;
+/// A run that was ordered at most this long before its worker was last heard of, or later, may
+/// have crashed it.
+const SUSPICION_MAX: Duration = Duration::from_millis(250);
 /// Interval at which runs are checked for unanswered stops and for progress.
 const RUN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -174,6 +178,9 @@
             ..Live::default()
         };
         let job = &state.jobs[&task.step.job];
+        if state.is_on_trial(task) {
+            channel.trial_until = now.at + TRIAL;
+        }
         channel.insert(task, live);
         self.assignments.insert((task, worker));
         let wanted = state.is_wanted(worker, task, run);
@@ -280,6 +287,19 @@
         task: TaskName,
         run: u32,
         by: &'static str,
+    ) {
+        self.end_without_list(state, key, task, run, Termination::Void, by);
+    }
+
+    // Ends a run that its worker does not list.
+    fn end_without_list(
+        &mut self,
+        state: &State,
+        key: WorkerKey,
+        task: TaskName,
+        run: u32,
+        how: Termination,
+        by: &'static str,
     ) {
         let Some(channel) = self.channels.get_mut(key) else {
             return;
@@ -291,11 +311,17 @@
             live.given_up = true;
         }
         let from = channel.live()[&task].from;
+        // The earlier incarnation crashed before it listed the run.
+        let how = if from.is_some() {
+            Termination::Crashed
+        } else {
+            how
+        };
         self.ends.push(End {
             task,
             run,
             worker: from.unwrap_or(key),
-            how: Termination::Void,
+            how,
             checkpoint: None,
         });
         self.dirty = true;
@@ -303,19 +329,13 @@
             task: task.to_string(),
             run,
             worker: state.worker(key).report.id.clone(),
-            how: Termination::Void,
+            how,
             by,
         });
     }
 
     fn end_all_as_void(&mut self, key: WorkerKey, state: &State, by: &'static str) {
-        let channel = &self.channels[key];
-        let runs: Vec<(TaskName, u32)> = channel
-            .live()
-            .iter()
-            .filter(|(_, live)| !live.ending)
-            .map(|(&task, live)| (task, live.run))
-            .collect();
+        let runs: Vec<(TaskName, Live)> = self.channels[key].unended().collect();
         if runs.is_empty() {
             return;
         }
@@ -323,8 +343,8 @@
             worker: state.worker(key).report.id.clone(),
             by,
         });
-        for (task, run) in runs {
-            self.end_as_void(state, key, task, run, by);
+        for (task, live) in runs {
+            self.end_as_void(state, key, task, live.run, by);
         }
     }
 
@@ -387,7 +407,7 @@
             let why = "start order may have reached a later incarnation";
             self.stop(now, state, new, task, live.run, why);
         }
-        self.end_all_as_void(old, state, "replacement by a later incarnation");
+        self.departed(now, state, old, "replacement by a later incarnation");
     }
 
     pub(super) fn registered(&mut self, now: Now, state: &State, id: &str) {
@@ -422,9 +442,37 @@
         }
     }
 
-    pub(super) fn departed(&mut self, _now: Now, state: &State, key: WorkerKey, by: &'static str) {
-        if self.channels.contains(key) {
+    pub(super) fn departed(&mut self, now: Now, state: &State, key: WorkerKey, by: &'static str) {
+        let Some(channel) = self.channels.get(key) else {
+            return;
+        };
+        if channel.departing.is_some() || state.worker(key).report.draining {
             self.end_all_as_void(key, state, by);
+        } else {
+            self.end_all_as_crashed(now, key, state, by);
+        }
+    }
+
+    // Ends the runs of an incarnation that ended without an announcement. The runs that
+    // started last may have crashed the worker.
+    fn end_all_as_crashed(&mut self, now: Now, key: WorkerKey, state: &State, by: &'static str) {
+        let channel = &self.channels[key];
+        let latest = channel.heard_at.min(now.at);
+        let runs: Vec<(TaskName, Live)> = channel.unended().collect();
+        if runs.is_empty() {
+            return;
+        }
+        self.note(Note::WorkerGone {
+            worker: state.worker(key).report.id.clone(),
+            by,
+        });
+        for (task, live) in runs {
+            let how = if latest.since(live.ordered_at) <= SUSPICION_MAX {
+                Termination::Crashed
+            } else {
+                Termination::Lost
+            };
+            self.end_without_list(state, key, task, live.run, how, by);
         }
     }
 }
--- a/src/core/plane/state.rs
+++ b/src/core/plane/state.rs
@@ -6,13 +6,22 @@
 
 use super::job::{Job, Phase, Status, Step, Submission, Task};
 use super::plan::{Account, Config, Queue};
-use super::types::{AccountKey, JobId, QueueKey, Resources, TaskName, Termination, WorkerKey};
+use super::types::{
+    AccountKey, JobId, QueueKey, Resources, StepName, TaskName, Termination, WorkerKey,
+};
 use super::worker::{Report, Run, Worker};
 
 /// Time for which an ended job is kept, in milliseconds, so that a repeated submission
 /// finds it. One hour is thirty times the longest status interval promised to callers.
 const RETENTION_MS: u64 = 3_600_000;
 
+/// Number of crashed workers from which on a task is a suspect whenever they crashed.
+const CRASHES_BEFORE_SUSPICION_MAX: u32 = 3;
+/// Number of crashes on trial after which a task is given up. A single one may be a coincidence.
+const TRIAL_CRASHES_MAX: u32 = 2;
+/// Number of crashed workers after which a task is given up in any case.
+const CRASHES_MAX: u32 = 5;
+
 /// Start of a run, as recorded in the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Start {
@@ -82,6 +91,29 @@
     },
 }
 
+/// Crashes of workers under one task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Crashes {
+    /// Number of workers that crashed.
+    count: u32,
+    /// Whether the task may have crashed a worker. It then runs on a worker of its own.
+    is_suspect: bool,
+    /// Number of crashes shortly after a start on a worker of its own.
+    on_trial: u32,
+}
+
+impl Crashes {
+    // Counts a crash and returns whether the task is to be given up. A crash shortly after
+    // the start makes the task a suspect. Further ones prove it, since a suspect has its worker
+    // to itself.
+    fn count(&mut self, shortly_after_start: bool) -> bool {
+        self.count += 1;
+        self.on_trial += u32::from(shortly_after_start && self.is_suspect);
+        self.is_suspect |= shortly_after_start || self.count >= CRASHES_BEFORE_SUSPICION_MAX;
+        self.on_trial >= TRIAL_CRASHES_MAX || self.count >= CRASHES_MAX
+    }
+}
+
 /// Replicated state of the task plane.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -108,6 +140,8 @@
     pub worker_keys: HashMap<String, WorkerKey>,
     /// Index of the last applied log entry.
     pub applied: u64,
+    /// Open tasks under which workers crashed. Snapshots of earlier versions end before it.
+    crashes: BTreeMap<TaskName, Crashes>,
 }
 
 impl State {
@@ -119,6 +153,36 @@
             .map(|&(_, job)| job)
     }
 
+    /// Returns whether any open task may have crashed a worker.
+    pub fn has_suspects(&self) -> bool {
+        self.crashes.values().any(|crashes| crashes.is_suspect)
+    }
+
+    /// Returns whether a run of a task needs a worker of its own: the task, or a member of its
+    /// gang, may have crashed a worker.
+    pub fn is_on_trial(&self, task: TaskName) -> bool {
+        let is_gang = self
+            .jobs
+            .get(&task.step.job)
+            .and_then(|job| job.step(task.step))
+            .is_some_and(|(spec, _)| spec.gang);
+        let mut suspects = self.suspects(task.step);
+        suspects.any(|suspect| is_gang || suspect == task)
+    }
+
+    /// Returns the tasks of a step that may have crashed a worker.
+    pub fn suspects(&self, step: StepName) -> impl Iterator<Item = TaskName> {
+        let first = TaskName { step, index: 0 };
+        let last = TaskName {
+            step,
+            index: u16::MAX,
+        };
+        self.crashes
+            .range(first..=last)
+            .filter(|(_, crashes)| crashes.is_suspect)
+            .map(|(&task, _)| task)
+    }
+
     /// Returns a worker incarnation.
     pub fn worker(&self, key: WorkerKey) -> &Worker {
         &self.workers[key.0 as usize]
@@ -276,6 +340,7 @@
         }
         job.status = status;
         job.trim();
+        self.crashes.retain(|task, _| task.step.job != id);
         self.open.remove(&id);
         self.ended.push_back((at_ms, id));
     }
@@ -404,8 +469,15 @@
             release(step, index, done);
         }
         let mut failed = false;
-        if end.how == Termination::Failed {
-            failed = count_failure(step, index, gang, end.run, attempts) && !long_running;
+        match end.how {
+            Termination::Failed => {
+                failed = count_failure(step, index, gang, end.run, attempts) && !long_running;
+            }
+            Termination::Crashed | Termination::Lost => {
+                let crashes = self.crashes.entry(end.task).or_default();
+                failed = crashes.count(end.how == Termination::Crashed);
+            }
+            _ => {}
         }
         if gang && !done {
             step.aborting = step.placed > 0;
--- a/src/core/plane/types.rs
+++ b/src/core/plane/types.rs
@@ -207,4 +207,8 @@
     Alone,
     /// The run never started, or its worker is gone.
     Void,
+    /// The worker crashed shortly after the start of the run.
+    Crashed,
+    /// The worker crashed long after the start of the run.
+    Lost,
 }
--- /dev/null
+++ b/tests/crashes.rs
@@ -0,0 +1,205 @@
+//! Tasks that crash their workers, workers that crash by themselves, and capacities that
+//! change.
+
+#[path = "support/plane.rs"]
+mod support;
+
+use plantaincross::core::plane::codec;
+use plantaincross::core::plane::job::{Status, StepSpec};
+use plantaincross::core::plane::lead::Query;
+use plantaincross::core::plane::state::State;
+use plantaincross::core::plane::types::{JobId, Resources};
+use plantaincross::core::plane::worker::Report;
+use support::{Cell, queue, tasks};
+
+const WORKERS: usize = 48;
+const TASKS: u16 = 4;
+const TASK_MS: u64 = 600;
+/// Time in which a job is to be done: one and a half run times and 250 ms.
+const GOAL_MS: u64 = 1_150;
+/// Starts of a task after which no further one may follow: three after three crashes break
+/// the promise to operators.
+const STARTS_MAX: u64 = 5;
+const DEADLY_JOB: u64 = 100_000;
+
+fn cell(seed: u64) -> Cell {
+    let queues = vec![queue("urgent", 0, None), queue("batch", 1, None)];
+    let mut cell = Cell::new(seed, WORKERS, queues, Resources::default());
+    cell.run_for(100);
+    cell
+}
+
+fn job(_id: u64) -> Vec<StepSpec> {
+    vec![tasks(TASKS, 4, TASK_MS)]
+}
+
+fn submit_jobs(cell: &mut Cell, first: u64, count: u64) -> Vec<(JobId, u64)> {
+    cell.submit_series("urgent", (first, count), 20, job, TASK_MS)
+}
+
+fn submit_deadly(cell: &mut Cell, id: u64, step: StepSpec) {
+    cell.deadly.insert(JobId(id));
+    cell.submit("batch", id, vec![step], TASK_MS);
+}
+
+// Checks that deadly jobs are given up within the allowed starts, and no others.
+fn assert_only_deadly_jobs_fail(cell: &Cell) {
+    for (task, starts) in &cell.deadly_starts {
+        assert!(*starts <= STARTS_MAX, "{task} was started {starts} times");
+    }
+    for (id, job) in &cell.state.jobs {
+        let is_failed = job.status == Status::Failed;
+        assert_eq!(
+            is_failed,
+            cell.deadly.contains(id),
+            "job {id} {:?}",
+            job.status
+        );
+    }
+}
+
+fn assert_deadly_step_is_given_up(seed: u64, step: StepSpec, crashes_max: u64) {
+    let mut cell = cell(seed);
+    let mut sent = submit_jobs(&mut cell, 1, 100);
+    submit_deadly(&mut cell, DEADLY_JOB, step);
+    sent.extend(submit_jobs(&mut cell, 101, 400));
+    cell.run_for(8_000);
+    assert_only_deadly_jobs_fail(&cell);
+    assert!(
+        cell.crashes <= crashes_max,
+        "{} workers crashed",
+        cell.crashes
+    );
+    let in_time = cell.share_in_time(&sent, GOAL_MS);
+    assert!(in_time >= 0.9, "{in_time:.2} of the other jobs are in time");
+}
+
+macro_rules! deadly_steps {
+    ($($name:ident: $seed:expr, $step:expr, $crashes_max:expr;)*) => {
+        $(#[test] fn $name() { assert_deadly_step_is_given_up($seed, $step, $crashes_max); })*
+    };
+}
+
+deadly_steps! {
+    a_task_that_crashes_its_workers_is_given_up: 1, tasks(1, 4, TASK_MS), 3;
+    tasks_of_a_step_that_crash_their_workers_are_given_up: 2, tasks(4, 4, TASK_MS), 6;
+    a_gang_that_crashes_its_workers_is_given_up: 3, StepSpec { gang: true, ..tasks(6, 9, TASK_MS) }, 9;
+}
+
+#[test]
+fn many_tasks_that_crash_their_workers_do_not_take_the_others_with_them() {
+    let mut cell = cell(4);
+    for round in 0..20 {
+        submit_deadly(&mut cell, DEADLY_JOB + round, tasks(1, 4, TASK_MS));
+        submit_jobs(&mut cell, 1 + round * 10, 10);
+    }
+    cell.run_for(20_000);
+    assert_only_deadly_jobs_fail(&cell);
+    assert!(cell.unfinished().iter().all(|id| cell.deadly.contains(id)));
+}
+
+#[test]
+fn jobs_on_a_rack_that_loses_power_are_not_given_up() {
+    let mut cell = cell(5);
+    submit_jobs(&mut cell, 1, 100);
+    for round in 1..=3 {
+        cell.cut_power(0..12);
+        submit_jobs(&mut cell, round * 1_000, 5);
+        cell.run_for(4_000);
+    }
+    cell.run_for(20_000);
+    assert_only_deadly_jobs_fail(&cell);
+    assert!(cell.unfinished().is_empty());
+}
+
+#[test]
+fn workers_behind_a_cut_are_not_counted_as_crashed() {
+    let mut cell = cell(6);
+    for round in 1..=3 {
+        submit_jobs(&mut cell, round * 1_000, 30);
+        cell.cut_zone(0, 9_000);
+        cell.run_for(12_000);
+    }
+    assert_only_deadly_jobs_fail(&cell);
+    assert!(!cell.state.has_suspects());
+}
+
+#[test]
+fn new_leaders_keep_the_count_of_crashes() {
+    let mut cell = cell(7);
+    submit_jobs(&mut cell, 1, 20);
+    submit_deadly(&mut cell, DEADLY_JOB, tasks(1, 4, TASK_MS));
+    for _ in 0..10 {
+        cell.run_for(2_500);
+        cell.take_over();
+    }
+    cell.run_for(10_000);
+    assert_only_deadly_jobs_fail(&cell);
+}
+
+#[test]
+fn a_restored_snapshot_keeps_the_count_of_crashes() {
+    let mut cell = cell(8);
+    submit_deadly(&mut cell, DEADLY_JOB, tasks(1, 4, TASK_MS));
+    cell.run_for(3_500);
+    assert!(cell.state.has_suspects());
+    let restored = codec::decode_state(&codec::encode(&cell.state)).expect("a state");
+    assert_eq!(restored, cell.state);
+}
+
+#[test]
+fn a_snapshot_without_a_record_of_crashes_is_read() {
+    let cell = cell(9);
+    let encoded = codec::encode(&cell.state);
+    let (last, earlier) = encoded.split_last().expect("not empty");
+    assert_eq!(*last, 0, "no crashes");
+    assert!(codec::decode::<State>(earlier).is_err());
+    let restored = codec::decode_state(earlier).expect("a state of an earlier version");
+    assert_eq!(restored, cell.state);
+}
+
+// The fake workers check their capacity at each start. A smaller one counts for them once the
+// leader had time to learn of it.
+#[test]
+fn no_start_exceeds_a_capacity_that_has_shrunk() {
+    const CONTACT_MS: u64 = 3_000;
+    let mut cell = cell(10);
+    let full = cell.workers[0].report.capacity;
+    let shrunk = Resources {
+        cpu: full.cpu / 3,
+        memory: full.memory / 3,
+        ..full
+    };
+    for round in 0..6 {
+        let first = round * 100;
+        if round % 2 == 0 {
+            report_capacity(&mut cell, shrunk);
+            submit_jobs(&mut cell, first + 1, 20);
+            cell.run_for(CONTACT_MS);
+            set_capacity(&mut cell, shrunk);
+        } else {
+            set_capacity(&mut cell, full);
+            report_capacity(&mut cell, full);
+        }
+        submit_jobs(&mut cell, first + 50, 40);
+    }
+    cell.run_for(10_000);
+    assert!(cell.unfinished().is_empty());
+}
+
+fn set_capacity(cell: &mut Cell, capacity: Resources) {
+    for worker in &mut cell.workers {
+        worker.report.capacity = capacity;
+    }
+}
+
+fn report_capacity(cell: &mut Cell, capacity: Resources) {
+    for at in 0..WORKERS {
+        cell.workers[at].report.sequence += 1;
+        let report = Report {
+            capacity,
+            ..cell.workers[at].report.clone()
+        };
+        cell.query(Query::Report(Box::new(report)));
+    }
+}
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -28,6 +28,10 @@
 const DELAY_TIMER_INTERVAL_MS: u64 = 10;
 /// Clock reading at the start of the simulation.
 const START_MS: u64 = 5_000_000;
+/// Time from the start of a deadly task to the crash of its worker.
+const CRASH_MS: u64 = 10;
+/// Time after which a crashed worker is back.
+const RETURN_MS: u64 = 3_000;
 /// Initial number of instances that can query the permission service.
 const REQUESTERS: u64 = 13;
 /// Number of availability zones that the workers are in, in turn.
@@ -124,11 +128,18 @@
     Query(u64, Box<Query>),
     /// Expiry of the timer that tells the leader its delay.
     DelayTimer(u64),
+    /// Crash of a worker's incarnation.
+    Crash(usize, u64),
+    /// Start of a worker's next incarnation, under another id.
+    Return(usize),
 }
 
 impl Event {
     fn is_input(&self) -> bool {
-        !matches!(self, Self::Arrive(..) | Self::Inspect(..))
+        !matches!(
+            self,
+            Self::Arrive(..) | Self::Inspect(..) | Self::Crash(..) | Self::Return(..)
+        )
     }
 }
 
@@ -202,6 +213,12 @@
     pub stops: u64,
     /// Number of stop orders that the leader sent.
     pub stop_orders: u64,
+    /// Jobs whose tasks crash each worker that starts them.
+    pub deadly: BTreeSet<JobId>,
+    /// Number of workers that crashed under deadly tasks.
+    pub crashes: u64,
+    /// Number of starts of each deadly task.
+    pub deadly_starts: BTreeMap<TaskName, u64>,
     /// Outcome in the log event of each ended job.
     pub job_outcomes: BTreeMap<String, Status>,
     events: BTreeMap<(u64, u64), Event>,
@@ -268,6 +285,9 @@
             waits: Vec::new(),
             stops: 0,
             stop_orders: 0,
+            deadly: BTreeSet::new(),
+            crashes: 0,
+            deadly_starts: BTreeMap::new(),
             job_outcomes: BTreeMap::new(),
             events: BTreeMap::new(),
             open: BTreeSet::new(),
@@ -313,6 +333,7 @@
         let report = Report {
             id: id.to_owned(),
             born_ms: self.now,
+            machine: Some(format!("m{}", self.workers.len())),
             service: "s".to_owned(),
             address: format!("10.0.0.1:{}", 1_000 + self.workers.len()),
             zone: format!("z{}", at % ZONES),
@@ -766,6 +787,17 @@
                     lead.handle_delay_timer(now, Moment::from_millis(expired_at));
                 }
             }
+            Event::Crash(at, born_at) => {
+                if self.workers[at].up && self.workers[at].born_at == born_at {
+                    self.crash(at);
+                    self.crashes += 1;
+                    self.schedule(RETURN_MS, Event::Return(at));
+                }
+            }
+            Event::Return(at) => {
+                self.workers[at].report.id = format!("w{at}-{}", self.now);
+                self.restart(at);
+            }
             Event::Query(call, query) => {
                 self.handle_input(|lead, now, state| {
                     lead.handle_query(now, state, Call(call), *query)
@@ -979,6 +1011,12 @@
         let worker = &mut self.workers[at];
         worker.deadline = worker.deadline.max(until);
         worker.starts += 1;
+        if self.deadly.contains(&task.step.job) {
+            *self.deadly_starts.entry(task).or_default() += 1;
+            let crash = Event::Crash(at, worker.born_at);
+            self.schedule(CRASH_MS, crash);
+        }
+        let worker = &mut self.workers[at];
         worker.idle_until = 0;
         worker.runs.insert(
             task,
@@ -1073,6 +1111,14 @@
         }
     }
 
+    /// Crashes workers at the same moment; they are back later.
+    pub fn cut_power(&mut self, workers: std::ops::Range<usize>) {
+        for at in workers {
+            self.crash(at);
+            self.schedule(RETURN_MS, Event::Return(at));
+        }
+    }
+
     /// Crashes a worker for good.
     pub fn crash(&mut self, at: usize) {
         self.workers[at].up = false;
