--- a/src/core/plane/lead/requests.rs
+++ b/src/core/plane/lead/requests.rs
@@ -17,6 +17,10 @@
 /// Time after which a caller should retry while there are too many open jobs.
 const OVERLOAD_RETRY_MS: u64 = 2_000;
 
+/// Maximum time by which a worker's time of day is taken to be ahead of the leader's: ten minutes,
+/// as clocks jump by seconds.
+const CLOCK_AHEAD_MAX_MS: u64 = 600_000;
+
 impl Lead {
     pub(super) fn process_query(&mut self, now: Now, state: &State, call: Call, query: Query) {
         match query {
@@ -166,6 +170,11 @@
             self.answer(call, Answer::Malformed(why));
             return;
         }
+        if let Some(why) = implausible(now, &report) {
+            self.note_refusal(state, format!("report of {}", report.id), why.clone());
+            self.answer(call, Answer::Malformed(why));
+            return;
+        }
         let known = state.worker_keys.get(&report.id).copied();
         if let Some(key) = known {
             let worker = state.worker(key);
@@ -244,6 +253,19 @@
     }
 }
 
+// Returns why a report cannot come from the worker that it names. Its own reports would count
+// as old after such a one.
+fn implausible(now: Now, report: &Report) -> Option<String> {
+    let latest_ms = now.wall_ms.saturating_add(CLOCK_AHEAD_MAX_MS);
+    if report.born_ms > latest_ms {
+        return Some(format!("start time {} is in the future", report.born_ms));
+    }
+    // A worker sends at most one report a millisecond.
+    let sequence_max = latest_ms - report.born_ms;
+    (report.sequence > sequence_max)
+        .then(|| format!("sequence number {} is out of range", report.sequence))
+}
+
 const fn no_configuration() -> Answer {
     Answer::Unavailable {
         retry_ms: NO_CONFIGURATION_RETRY_MS,
