--- a/src/core/plane/lead/io.rs
+++ b/src/core/plane/lead/io.rs
@@ -195,8 +195,10 @@
     pub born_ms: Option<u64>,
     /// Current runs.
     pub running: Vec<RunningRow>,
-    /// Ended runs that are not yet known to be committed.
+    /// Ended runs that are not yet known to be committed, in the order of their numbers.
     pub ended: Vec<EndRow>,
+    /// Whether rows are missing because they could not be decoded.
+    pub is_partial: bool,
 }
 
 /// Reason why a worker declined a start order. The order has had no effect.
--- a/src/core/plane/lead/replies.rs
+++ b/src/core/plane/lead/replies.rs
@@ -241,7 +241,7 @@
             }
             self.process_end(now, state, key, row);
         }
-        if lists.ended.len() < LISTED_ENDS_MAX {
+        if lists.ended.len() < LISTED_ENDS_MAX && !lists.is_partial {
             self.process_absent(now, state, key, sent_at, is_first, lists);
         }
         self.acknowledge_ends(now, key);
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -923,6 +923,7 @@
                 })
                 .collect(),
             ended: worker.ended.clone(),
+            is_partial: false,
         };
         self.reply(order, at, Reply::Lists(clock, lists));
     }
