--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -318,7 +318,7 @@
                 self.note(Note::Configured { version });
             }
             Command::Register(report) => self.registered(now, state, &report.id),
-            Command::Depart(worker) => self.departed(now, state, *worker, "another incarnation"),
+            Command::Depart(worker) => self.departed(state, *worker, "another incarnation"),
             Command::Submit { submission, .. } => {
                 self.submitting.remove(&submission.id);
                 self.waiting_jobs.insert(submission.id);
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -335,6 +335,16 @@
     }
 
     fn end_all_as_void(&mut self, key: WorkerKey, state: &State, by: &'static str) {
+        self.end_all(key, state, by, |_| Termination::Void);
+    }
+
+    fn end_all(
+        &mut self,
+        key: WorkerKey,
+        state: &State,
+        by: &'static str,
+        how: impl Fn(&Live) -> Termination,
+    ) {
         let runs: Vec<(TaskName, Live)> = self.channels[key].unended().collect();
         if runs.is_empty() {
             return;
@@ -344,7 +354,7 @@
             by,
         });
         for (task, live) in runs {
-            self.end_as_void(state, key, task, live.run, by);
+            self.end_without_list(state, key, task, live.run, how(&live), by);
         }
     }
 
@@ -407,7 +417,7 @@
             let why = "start order may have reached a later incarnation";
             self.stop(now, state, new, task, live.run, why);
         }
-        self.departed(now, state, old, "replacement by a later incarnation");
+        self.departed(state, old, "replacement by a later incarnation");
     }
 
     pub(super) fn registered(&mut self, now: Now, state: &State, id: &str) {
@@ -442,38 +452,28 @@
         }
     }
 
-    pub(super) fn departed(&mut self, now: Now, state: &State, key: WorkerKey, by: &'static str) {
+    pub(super) fn departed(&mut self, state: &State, key: WorkerKey, by: &'static str) {
         let Some(channel) = self.channels.get(key) else {
             return;
         };
         if channel.departing.is_some() || state.worker(key).report.draining {
             self.end_all_as_void(key, state, by);
         } else {
-            self.end_all_as_crashed(now, key, state, by);
+            self.end_all_as_crashed(key, state, by);
         }
     }
 
     // Ends the runs of an incarnation that ended without an announcement. The runs that
     // started last may have crashed the worker.
-    fn end_all_as_crashed(&mut self, now: Now, key: WorkerKey, state: &State, by: &'static str) {
-        let channel = &self.channels[key];
-        let latest = channel.heard_at.min(now.at);
-        let runs: Vec<(TaskName, Live)> = channel.unended().collect();
-        if runs.is_empty() {
-            return;
-        }
-        self.note(Note::WorkerGone {
-            worker: state.worker(key).report.id.clone(),
-            by,
-        });
-        for (task, live) in runs {
-            let how = if latest.since(live.ordered_at) <= SUSPICION_MAX {
+    fn end_all_as_crashed(&mut self, key: WorkerKey, state: &State, by: &'static str) {
+        let heard_at = self.channels[key].heard_at;
+        self.end_all(key, state, by, |live| {
+            if heard_at.since(live.ordered_at) <= SUSPICION_MAX {
                 Termination::Crashed
             } else {
                 Termination::Lost
-            };
-            self.end_without_list(state, key, task, live.run, how, by);
-        }
+            }
+        });
     }
 }
 
--- a/src/core/plane/state.rs
+++ b/src/core/plane/state.rs
@@ -16,7 +16,7 @@
 const RETENTION_MS: u64 = 3_600_000;
 
 /// Number of crashed workers from which on a task is a suspect whenever they crashed.
-const CRASHES_BEFORE_SUSPICION_MAX: u32 = 3;
+const SUSPICION_CRASHES_MIN: u32 = 3;
 /// Number of crashes on trial after which a task is given up. A single one may be a coincidence.
 const TRIAL_CRASHES_MAX: u32 = 2;
 /// Number of crashed workers after which a task is given up in any case.
@@ -109,7 +109,7 @@
     fn count(&mut self, shortly_after_start: bool) -> bool {
         self.count += 1;
         self.on_trial += u32::from(shortly_after_start && self.is_suspect);
-        self.is_suspect |= shortly_after_start || self.count >= CRASHES_BEFORE_SUSPICION_MAX;
+        self.is_suspect |= shortly_after_start || self.count >= SUSPICION_CRASHES_MIN;
         self.on_trial >= TRIAL_CRASHES_MAX || self.count >= CRASHES_MAX
     }
 }
