--- a/src/core/plane/state.rs
+++ b/src/core/plane/state.rs
@@ -473,6 +473,8 @@
             Termination::Failed => {
                 failed = count_failure(step, index, gang, end.run, attempts) && !long_running;
             }
+            // A service outlives any number of workers.
+            Termination::Lost if long_running => {}
             Termination::Crashed | Termination::Lost => {
                 let crashes = self.crashes.entry(end.task).or_default();
                 failed = crashes.count(end.how == Termination::Crashed);
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -112,6 +112,22 @@
     assert!(cell.unfinished().is_empty());
 }
 
+#[test]
+fn a_long_running_task_outlives_its_workers() {
+    let mut cell = cell(11);
+    let step = StepSpec {
+        long_running: true,
+        ..tasks(1, 4, TASK_MS)
+    };
+    cell.submit("batch", 1, vec![step], TASK_MS);
+    for _ in 0..8 {
+        cell.run_for(5_000);
+        cell.cut_power(0..WORKERS);
+    }
+    cell.run_for(5_000);
+    assert_only_deadly_jobs_fail(&cell);
+}
+
 #[test]
 fn workers_behind_a_cut_are_not_counted_as_crashed() {
     let mut cell = cell(6);
