Log which incarnation a departure names

A worker's announcement that it shuts down was logged as `worker_gone` with the worker's id alone, and the end of its runs as "another incarnation". For a task that ran twice the log could not tell apart:

1. an announcement of an earlier incarnation was applied to the present one, 2. the worker fell silent and its lease ran out, 3. another worker answered at its address.

The adapter now decodes the start of the incarnation from the body of a departure, if there is one, and `worker_departs` shows it beside the start of the incarnation that is known and whether that one drains. Ends that follow from it are logged with "its announcement". Nothing is decided differently yet.

--- a/src/core/plane/lead/io.rs
+++ b/src/core/plane/lead/io.rs
@@ -8,7 +8,7 @@
 use crate::core::plane::job::{Status, Submission};
 use crate::core::plane::state::Command;
 use crate::core::plane::types::{StepName, TaskName, Termination, WorkerKey};
-use crate::core::plane::worker::Report;
+use crate::core::plane::worker::{Departure, Report};
 use crate::core::registry::InstanceId;
 
 /// Number of a query from a caller, worker or operator. The answer carries the same
@@ -47,8 +47,8 @@
     Request(Box<Request>),
     /// Report of a worker.
     Report(Box<Report>),
-    /// Id of a worker that announces its shutdown.
-    Depart(String),
+    /// Announcement of a worker that it shuts down.
+    Depart(Departure),
     /// Configuration to apply.
     Configure {
         /// Parsed configuration.
@@ -374,7 +374,19 @@
         /// Whether the worker is draining.
         draining: bool,
     },
-    /// A worker shuts down, or its runs count as ended.
+    /// A worker announced that it shuts down.
+    WorkerDeparts {
+        /// Id of the worker.
+        worker: String,
+        /// Start of the incarnation that the announcement names, in milliseconds since the Unix
+        /// epoch.
+        named_born_ms: Option<u64>,
+        /// Start of the latest known incarnation, in milliseconds since the Unix epoch.
+        known_born_ms: Option<u64>,
+        /// Whether that incarnation has reported that it drains.
+        draining: bool,
+    },
+    /// The runs of a worker count as ended.
     WorkerGone {
         /// Id of the worker.
         worker: String,
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -318,7 +318,15 @@
                 self.note(Note::Configured { version });
             }
             Command::Register(report) => self.registered(now, state, &report.id),
-            Command::Depart(worker) => self.departed(state, *worker, "another incarnation"),
+            Command::Depart(worker) => {
+                let channel = self.channels.get(*worker);
+                let by = if channel.is_some_and(|channel| channel.departing.is_some()) {
+                    "its announcement"
+                } else {
+                    "another incarnation"
+                };
+                self.departed(state, *worker, by);
+            }
             Command::Submit { submission, .. } => {
                 self.submitting.remove(&submission.id);
                 self.waiting_jobs.insert(submission.id);
--- a/src/core/plane/lead/requests.rs
+++ b/src/core/plane/lead/requests.rs
@@ -6,7 +6,7 @@
 use crate::core::plane::plan::Queue;
 use crate::core::plane::state::{Command, State};
 use crate::core::plane::types::{JobId, WorkerKey};
-use crate::core::plane::worker::Report;
+use crate::core::plane::worker::{Departure, Report};
 
 /// Time after which a caller should retry while there is no configuration. The operator
 /// sends it again within about a second.
@@ -26,7 +26,7 @@
         match query {
             Query::Request(request) => self.process_request(now, state, call, *request),
             Query::Report(report) => self.process_report(now, state, call, *report),
-            Query::Depart(id) => self.process_departure(now, state, call, &id),
+            Query::Depart(departure) => self.process_departure(now, state, call, departure),
             Query::Configure { plan, document } => {
                 if let Err(err) = plan.validate() {
                     let path = format!("configuration {}", plan.version);
@@ -202,15 +202,18 @@
         self.propose(command, vec![(call, Answer::Done)]);
     }
 
-    fn process_departure(&mut self, now: Now, state: &State, call: Call, id: &str) {
-        if let Some(key) = state.worker_keys.get(id)
-            && let Some(channel) = self.channels.get_mut(*key)
-        {
+    fn process_departure(&mut self, now: Now, state: &State, call: Call, departure: Departure) {
+        let known = state.worker_keys.get(&departure.id).copied();
+        let report = known.map(|key| &state.worker(key).report);
+        let note = Note::WorkerDeparts {
+            named_born_ms: departure.born_ms,
+            known_born_ms: report.map(|report| report.born_ms),
+            draining: report.is_some_and(|report| report.draining),
+            worker: departure.id,
+        };
+        self.note(note);
+        if let Some(channel) = known.and_then(|key| self.channels.get_mut(key)) {
             channel.departing.get_or_insert(now.at);
-            self.note(Note::WorkerGone {
-                worker: id.to_owned(),
-                by: "its announcement",
-            });
         }
         self.answer(call, Answer::Done);
     }
--- a/src/core/plane/worker.rs
+++ b/src/core/plane/worker.rs
@@ -47,6 +47,17 @@
     }
 }
 
+/// Announcement of a worker that it shuts down.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Departure {
+    /// Worker id, the same in all incarnations.
+    pub id: String,
+    /// Start of the incarnation that shuts down, in milliseconds since the Unix epoch, if the
+    /// announcement names it.
+    pub born_ms: Option<u64>,
+}
+
 /// Run that is assigned to a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run {
