Check again in the simulation that no task runs twice

Each start is entered now. tests/plane.rs, silence, crashes, lasting, outages and overload pass with the check as they did without it.

--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -1001,6 +1001,7 @@
         }
         self.first_start.entry(task.step).or_insert(self.now);
         self.started.insert(task);
+        self.had_by.entry(task).or_default().insert(at);
         let ms = self.durations[&task.step.job];
         if let Some(since) = self.waiting_since.remove(&task) {
             self.gaps.push((task, self.now - since));
