Apply a departure only to the incarnation that sent it

Cause: a worker's announcement that it shuts down was identified by the worker's id. One that a cut had held up arrived after the worker had started again under that id; 0.4 s later all runs of the new incarnation were recorded as void and started elsewhere, while it worked on them. It never got work again either.

Evidence: `worker_departs` in the leader's log names the start ...143164 while ...148897 is known, and the ends follow. Ruled out by the same log: a silent worker whose lease ran out (no `order_lost`), another worker at the address.

Change: a departure counts for the incarnation whose start it names. The platform's workers may leave the body out; such a departure counts only while the known incarnation drains, since workers report this before they shut down. It is answered in each case, as before. Why it works: starts of one worker differ, so a late announcement cannot match its successor.

--- a/src/core/plane/lead/io.rs
+++ b/src/core/plane/lead/io.rs
@@ -385,6 +385,8 @@
         known_born_ms: Option<u64>,
         /// Whether that incarnation has reported that it drains.
         draining: bool,
+        /// Whether the announcement is that of the latest known incarnation.
+        is_current: bool,
     },
     /// The runs of a worker count as ended.
     WorkerGone {
--- a/src/core/plane/lead/requests.rs
+++ b/src/core/plane/lead/requests.rs
@@ -205,14 +205,18 @@
     fn process_departure(&mut self, now: Now, state: &State, call: Call, departure: Departure) {
         let known = state.worker_keys.get(&departure.id).copied();
         let report = known.map(|key| &state.worker(key).report);
+        let is_current = report.is_some_and(|report| report.is_ended_by(&departure));
         let note = Note::WorkerDeparts {
             named_born_ms: departure.born_ms,
             known_born_ms: report.map(|report| report.born_ms),
             draining: report.is_some_and(|report| report.draining),
+            is_current,
             worker: departure.id,
         };
         self.note(note);
-        if let Some(channel) = known.and_then(|key| self.channels.get_mut(key)) {
+        if let Some(channel) = known.and_then(|key| self.channels.get_mut(key))
+            && is_current
+        {
             channel.departing.get_or_insert(now.at);
         }
         self.answer(call, Answer::Done);
--- a/src/core/plane/worker.rs
+++ b/src/core/plane/worker.rs
@@ -41,6 +41,15 @@
         } == *other
     }
 
+    /// Returns whether a departure is that of this incarnation. One that names no start counts
+    /// only if this incarnation drains, as workers do before they shut down: otherwise it is
+    /// a late one of an earlier incarnation.
+    pub fn is_ended_by(&self, departure: &Departure) -> bool {
+        departure
+            .born_ms
+            .map_or(self.draining, |born_ms| born_ms == self.born_ms)
+    }
+
     /// Returns whether this incarnation started after that of `other`.
     pub const fn is_later(&self, other: &Self) -> bool {
         self.born_ms > other.born_ms
