Keep the runs of a departing worker until it is gone

What callers would see: a task runs on two workers (TWICE). A worker that gets no answer to its announcement works on for seconds until it ends, but 400 ms after the announcement its runs were recorded as void and started elsewhere. The same holds for a late announcement that names no start, when both incarnations have drained.

Cause: an announcement was taken for the end itself.

Change: 300 ms after the announcement the worker is inspected. It counts as gone if it has answered nothing 100 ms later, so that the whole still takes 400 ms; if it answers, it keeps its runs and is inspected again. It gets no new ones, as before. Silence is counted up to where the leader has caught up.

Ruled out: waiting for the lease to run out. It would make the tasks of each worker that is taken away late by up to 6 s. Not covered: a worker that is cut off right after its announcement and works on behind the cut.

--- a/src/core/plane/lead/channel.rs
+++ b/src/core/plane/lead/channel.rs
@@ -128,6 +128,25 @@
     pub traits: Traits,
 }
 
+/// Announced shutdown of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shutdown {
+    /// Time of the announcement, or of a later answer of the worker.
+    pub announced_at: Moment,
+    /// Time at which the worker was inspected to find out whether it is gone.
+    pub probed_at: Option<Moment>,
+}
+
+impl Shutdown {
+    /// Creates the record of a shutdown that was announced at `at`.
+    pub const fn announced(at: Moment) -> Self {
+        Self {
+            announced_at: at,
+            probed_at: None,
+        }
+    }
+}
+
 /// Reply to an outstanding order.
 #[derive(Clone, Copy, Debug)]
 struct AwaitedReply {
@@ -201,8 +220,8 @@
     pub excluded_until: Moment,
     /// Moving average of run times relative to the expected ones.
     pub slowness: f64,
-    /// Time at which the worker announced that it shuts down.
-    pub departing: Option<Moment>,
+    /// Shutdown that the worker announced.
+    pub departing: Option<Shutdown>,
     /// Time until which a task that may have crashed a worker has this one to itself.
     pub trial_until: Moment,
 }
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::channel::{Channel, Live, Traits};
+use super::channel::{Channel, Live, REPLY_OVERDUE_MAX, Shutdown, Traits};
 use super::inspect::INSPECT_WAIT;
 use super::io::{Effect, Note, Order, SentOrder, Work};
 use super::trial::TRIAL;
@@ -15,10 +15,13 @@
 pub(super) const REPLY_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay of the first inspection after a start, so that consecutive starts share it.
 const INSPECT_AFTER_START: Duration = Duration::from_millis(60);
+/// Time after which a command that is not committed is proposed again.
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval at which an unanswered stop is repeated.
 const STOP_RETRY: Duration = Duration::from_millis(400);
-/// Time after which a worker that announced its shutdown counts as gone.
-const DEPARTURE_DELAY: Duration = Duration::from_millis(400);
+/// Time after which a worker that announced its shutdown is inspected. It counts as gone once
+/// it does not answer.
+const DEPARTURE_DELAY: Duration = Duration::from_millis(300);
 /// A run without progress for this long is stopped and started elsewhere: three
 /// inspections. Workers report whole percentages, so longer runs get more time.
 const STUCK_MIN: Duration = Duration::from_millis(2_500);
@@ -57,14 +60,10 @@
                 self.channels.remove(key);
                 continue;
             }
-            let departs = channel
-                .departing
-                .is_some_and(|at| now.at.since(at) > DEPARTURE_DELAY);
-            if departs && !worker.departed {
-                channel.departing = Some(now.at + Duration::from_secs(2));
-                self.propose(Command::Depart(key), Vec::new());
+            if !worker.departed && self.tick_departure(now, state, key) {
                 continue;
             }
+            let channel = self.channels.get_mut(key).expect("not removed above");
             let out_of_contact = !channel.adopted || channel.unanswered_since.is_some();
             if out_of_contact && !channel.live().is_empty() && channel.leases_expired(now.at) {
                 self.end_all_as_void(key, state, "lease expiry");
@@ -89,6 +88,37 @@
         }
     }
 
+    // Inspects a worker that has announced its shutdown. It may run on for seconds if the answer
+    // to its announcement got lost, or the announcement may be that of an earlier incarnation.
+    // Returns whether the worker is gone.
+    fn tick_departure(&mut self, now: Now, state: &State, key: WorkerKey) -> bool {
+        let caught_up_to = self.caught_up_to;
+        let channel = self.channels.get_mut(key).expect("known worker");
+        let Some(shutdown) = channel.departing else {
+            return false;
+        };
+        match shutdown.probed_at {
+            None if now.at.since(shutdown.announced_at) > DEPARTURE_DELAY => {
+                channel.departing = Some(Shutdown {
+                    probed_at: Some(now.at),
+                    ..shutdown
+                });
+                self.probe(now, state, key);
+                false
+            }
+            Some(probed_at) if channel.heard_at > probed_at => {
+                channel.departing = Some(Shutdown::announced(now.at));
+                false
+            }
+            Some(probed_at) if caught_up_to.since(probed_at) >= REPLY_OVERDUE_MAX => {
+                channel.departing = Some(Shutdown::announced(now.at + COMMIT_TIMEOUT));
+                self.propose(Command::Depart(key), Vec::new());
+                true
+            }
+            _ => false,
+        }
+    }
+
     fn tick_runs(&mut self, now: Now, state: &State, key: WorkerKey) {
         let channel = &self.channels[key];
         let mut stops = Vec::new();
