Log what steps with suspects of a crash wait for

`step_waits` said `room` for a step whose tasks need a worker without other runs, as on a full fleet, so that the log could not tell apart:

1. the suspects wait for a worker on which nothing else runs, and there is none, 2. one suspect at a time is tried, and the trial of one never ends, 3. the fleet is full, or the step has no permits, 4. the leader has lost sight of the tasks.

The wait for such a worker is now `trial_worker`, and `placed` says `on_trial`. Nothing is decided differently.

--- a/src/core/plane/lead/io.rs
+++ b/src/core/plane/lead/io.rs
@@ -332,6 +332,8 @@
         worker: String,
         /// Time since acceptance of the job, in milliseconds.
         waited_ms: u64,
+        /// Whether the task, or a member of its gang, may have crashed a worker.
+        on_trial: bool,
     },
     /// A run ended.
     Ended {
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -370,6 +370,8 @@
         let is_asking = queue.permission.is_some() && self.permits.is_waiting(now.at, name);
         let reason = if is_asking {
             WaitReason::Permit
+        } else if required.exclusive {
+            WaitReason::TrialWorker
         } else {
             WaitReason::Room
         };
--- a/src/core/plane/lead/waiting.rs
+++ b/src/core/plane/lead/waiting.rs
@@ -39,6 +39,8 @@
     RoundLimit,
     /// A task of the step may have crashed a worker and is on trial.
     Trial,
+    /// A task that may have crashed a worker waits for a worker on which nothing else runs.
+    TrialWorker,
     /// The leader is behind and places only the most urgent steps.
     LeaderBehind,
 }
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -208,7 +208,8 @@
             ..Live::default()
         };
         let job = &state.jobs[&task.step.job];
-        if state.is_on_trial(task) {
+        let on_trial = state.is_on_trial(task);
+        if on_trial {
             channel.trial_until = now.at + TRIAL;
         }
         channel.insert(task, live);
@@ -240,6 +241,7 @@
             run,
             worker: assigned_worker.report.id.clone(),
             waited_ms: now.wall_ms.saturating_sub(job.accepted_ms),
+            on_trial,
         });
         let sent = SentOrder {
             worker,
