Bound the wait of suspects for a worker of their own

Cause: a suspect of a crash was tried on a worker on which nothing else runs, one of a step at a time. A task that lasts keeps its worker busy after its trial, so the workers bounded the suspects that ever ran.

Change: the suspects of a step are tried together on one worker, as many as fit; once one has passed, the others start at once, and the tasks that are no suspects too. If no worker is empty within 0.5 s, or 1.5 s once a worker has crashed on trial, they take the least used worker without a trial, where nothing else is started meanwhile. A task that lasts and loses its worker long after its start is no suspect any more. Why it works: each wait has a bound, and the number of rounds does not grow with the number of suspects. A step can be tried as a whole, as a task that is given up ends its job.

Found on related paths and covered by the same search: gangs, steps limited per worker, steps with permits, and tasks beside services on all workers. Seven of the eight new tests of tests/crashes.rs fail without the change (18, 18, 36, 26 and 4 tasks wait after 9 s; a gang and a limited step are not done); `tasks_start_again_after_a_crash_beside_services` passes without it.

--- a/src/core/plane/lead/channel.rs
+++ b/src/core/plane/lead/channel.rs
@@ -281,6 +281,12 @@
         self.heard_at < self.trial_until && !self.live.is_empty()
     }
 
+    /// Returns whether the worker has answered `time` after it was ordered to start a task.
+    pub fn has_outlived(&self, task: TaskName, time: Duration) -> bool {
+        let live = self.live.get(&task);
+        live.is_some_and(|live| live.ordered_at + time <= self.heard_at)
+    }
+
     /// Returns a run of a task for modification, if it has this run number.
     pub fn run_mut(&mut self, task: TaskName, run: u32) -> Option<&mut Live> {
         self.live.get_mut(&task).filter(|live| live.run == run)
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -30,7 +30,7 @@
 };
 pub use order::{Rank, rank};
 pub use permits::{Permits, batch_size, expected_duration};
-pub use place::{Requirement, Target, Targets};
+pub use place::{Requirement, Sharing, Target, Targets};
 pub use plan::Tally;
 pub use waiting::WaitReason;
 
@@ -128,6 +128,8 @@
     /// next planning round.
     waiting_jobs: BTreeSet<JobId>,
     waits: waiting::Waits,
+    /// Time since which suspects of a step have waited for a worker to themselves.
+    trial_waits: HashMap<StepName, Moment>,
     /// Ends of runs to propose in the next round.
     ends: Vec<End>,
     /// Moving average of run times relative to estimates, by queue name.
@@ -174,6 +176,7 @@
             submitting: HashMap::new(),
             waiting_jobs: state.open.clone(),
             waits: waiting::Waits::default(),
+            trial_waits: HashMap::new(),
             ends: Vec::new(),
             ratios: HashMap::new(),
             urgent_cpu_peak: 0.0,
--- a/src/core/plane/lead/place.rs
+++ b/src/core/plane/lead/place.rs
@@ -58,8 +58,22 @@
     pub best_effort: bool,
     /// Whether anything runs on the worker.
     pub busy: bool,
-    /// Whether the worker is kept for tasks that need it to themselves.
+    /// Whether the worker is kept for tasks that may have crashed a worker.
     pub kept: bool,
+    /// Whether such a task is on trial on the worker.
+    pub on_trial: bool,
+}
+
+/// Workers that tasks may share with other steps.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Sharing {
+    /// Any, apart from those kept for trials or with a task on trial.
+    #[default]
+    Any,
+    /// None: the tasks may have crashed a worker, and run where nothing else does.
+    None,
+    /// Any without a task on trial, the least used first: the tasks may have crashed a worker.
+    LeastUsed,
 }
 
 /// Resources and constraints of the tasks to place, all of one step.
@@ -83,8 +97,8 @@
     pub serving: bool,
     /// Whether the tasks are best-effort, using only processor time that others leave idle.
     pub best_effort: bool,
-    /// Whether the tasks share workers with no other step.
-    pub exclusive: bool,
+    /// Workers that the tasks may share with other steps.
+    pub sharing: Sharing,
 }
 
 /// Workers selected for the tasks of a step.
@@ -159,7 +173,7 @@
             target.serving |= required.serving;
             target.best_effort |= required.best_effort;
             target.busy = true;
-            target.kept |= required.exclusive;
+            target.on_trial |= required.sharing != Sharing::Any;
         }
     }
 
@@ -169,10 +183,15 @@
         } else {
             &target.free_non_urgent
         };
+        let may_share = match required.sharing {
+            Sharing::Any => !target.kept && !target.on_trial,
+            Sharing::None => !target.busy,
+            Sharing::LeastUsed => !target.on_trial,
+        };
         // Best-effort tasks would slow down serving tasks, so the two never share a
         // worker.
         required.resources.fits(free)
-            && !(target.kept && !required.exclusive || target.busy && required.exclusive)
+            && may_share
             && !(required.serving && target.best_effort || required.best_effort && target.serving)
     }
 
@@ -238,6 +257,28 @@
         find(allowed).workers
     }
 
+    /// Selects one worker among `allowed` for as many of `count` tasks as fit there. Otherwise
+    /// like [`Targets::find`].
+    pub fn find_on_one(
+        &self,
+        required: &Requirement,
+        count: usize,
+        allowed: &[WorkerKey],
+        existing: &HashMap<WorkerKey, u16>,
+    ) -> Vec<WorkerKey> {
+        self.add_examined(allowed.len());
+        let fits = |key: &&WorkerKey| self.get(**key).is_some_and(|t| Self::fits(t, required));
+        let selections = allowed
+            .iter()
+            .filter(fits)
+            .map(|&key| self.find_anywhere(required, count, &[key], existing));
+        let best = selections.max_by(|a, b| {
+            let by_count = a.workers.len().cmp(&b.workers.len());
+            by_count.then(b.cost.total_cmp(&a.cost))
+        });
+        best.map_or_else(Vec::new, |selection| selection.workers)
+    }
+
     fn grouped(
         &self,
         allowed: &[WorkerKey],
@@ -331,7 +372,8 @@
         let mut least_used: Vec<(i64, WorkerKey)> = allowed
             .iter()
             .filter_map(|&key| Some((key, self.get(key)?)))
-            .filter(|(_, target)| required.resources.fits(&target.capacity) && !target.kept)
+            .filter(|(_, target)| !target.kept && !target.on_trial)
+            .filter(|(_, target)| required.resources.fits(&target.capacity))
             .map(|(key, target)| (target.capacity.cpu - target.free.cpu, key))
             .collect();
         least_used.sort_unstable();
@@ -391,13 +433,17 @@
 }
 
 // Returns the placement cost of a worker, in thousandths of a core; lower is better. It is
-// the processors left free (best fit) plus penalties for remote data, slowness and failures.
+// the processors left free (best fit), or those in use for tasks that may crash the worker, plus
+// penalties for remote data, slowness and failures.
 fn cost(target: &Target, required: &Requirement) -> f64 {
-    let remaining = (target.free.cpu - required.resources.cpu) as f64;
+    let fit = match required.sharing {
+        Sharing::LeastUsed => target.capacity.cpu - target.free.cpu,
+        Sharing::Any | Sharing::None => target.free.cpu - required.resources.cpu,
+    } as f64;
     let remote = match required.data_rack {
         Some(r) if r != target.rack => (required.slowdown - 1.0).max(0.0) * REMOTE_COST_MILLICORES,
         _ => 0.0,
     };
     let slowness = (target.slowness - 1.0).max(0.0) * SLOWNESS_COST_MILLICORES;
-    remaining + remote + slowness + target.failure_score * FAILURE_COST_MILLICORES
+    fit + remote + slowness + target.failure_score * FAILURE_COST_MILLICORES
 }
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use super::order::{Rank, Timing, rank};
-use super::place::{Requirement, Target, Targets};
-use super::trial::Trial;
+use super::place::{Requirement, Sharing, Target, Targets};
+use super::trial::{Search, Trial};
 use super::waiting::{Outcome, WaitReason, search_interval};
 use super::{Lead, Now};
 use crate::core::plane::job::{Job, Phase, Step, StepSpec};
@@ -259,7 +259,8 @@
                 serving: channel.serving > 0,
                 best_effort: channel.best_effort > 0,
                 busy: !channel.live().is_empty() || channel.reserved != Resources::default(),
-                kept: channel.is_on_trial(),
+                kept: false,
+                on_trial: channel.is_on_trial(),
             };
             targets.insert(key, target);
         }
@@ -327,10 +328,10 @@
             return wait(WaitReason::Trial, 0, None);
         }
         let suspects = match &trial {
-            Trial::Waiting(suspects) => suspects.as_slice(),
+            Trial::Waiting(suspects) => suspects.tasks.as_slice(),
             Trial::None | Trial::Running => &[],
         };
-        let required = Requirement {
+        let mut required = Requirement {
             single_zone: self.outlasted_by_lease(job, queue, name),
             ..self.requirement(spec, queue, !suspects.is_empty())
         };
@@ -339,14 +340,28 @@
             return wait(WaitReason::Permit, 0, reserve);
         }
         let mut count = self.count_within_cap(state, job, spec, pending.count);
-        if required.exclusive && !spec.gang {
-            // One at a time: the first crash may end the job.
-            count = count.min(1);
+        if !suspects.is_empty() && !spec.gang {
+            count = count.min(suspects.len());
         }
         let eligible = eligible(state, round, job, spec);
         let allowed = permitted.as_ref().unwrap_or(&eligible);
         let existing = self.tasks_by_worker(state, name, spec);
-        let found = round.targets.find(&required, count, allowed, &existing);
+        let found = if let Trial::Waiting(suspects) = &trial {
+            let search = Search {
+                required: &required,
+                count,
+                allowed,
+                existing: &existing,
+                on_one_worker: !spec.gang && !suspects.has_passed,
+                needs_all: spec.gang,
+                empty_worker_wait_max: suspects.empty_worker_wait_max(),
+            };
+            let (sharing, found) = self.find_for_trial(now, &round.targets, name, &search);
+            required.sharing = sharing;
+            found
+        } else {
+            round.targets.find(&required, count, allowed, &existing)
+        };
         let is_complete = found.len() == pending.count;
         if !spec.gang || is_complete {
             self.start_tasks(state, name, &found, &required, suspects, round);
@@ -357,11 +372,7 @@
         let placed = if spec.gang { 0 } else { found.len() };
         if let Some(permission) = queue.permission {
             let targets = &round.targets;
-            let wanted = if required.exclusive && !spec.gang {
-                1
-            } else {
-                pending.count - placed
-            };
+            let wanted = pending.count - placed;
             self.request_permits(
                 now, state, name, &required, permission, &eligible, targets, &existing, wanted,
             );
@@ -370,7 +381,7 @@
         let is_asking = queue.permission.is_some() && self.permits.is_waiting(now.at, name);
         let reason = if is_asking {
             WaitReason::Permit
-        } else if required.exclusive {
+        } else if required.sharing != Sharing::Any {
             WaitReason::TrialWorker
         } else {
             WaitReason::Room
@@ -378,17 +389,15 @@
         wait(reason, placed, reserve)
     }
 
-    fn requirement(&self, spec: &StepSpec, queue: &Queue, exclusive: bool) -> Requirement {
-        let required = requirement(spec, queue, &self.racks, self.bounds.far_factor);
-        let max_per_worker = if exclusive && !spec.gang {
-            Some(1)
+    fn requirement(&self, spec: &StepSpec, queue: &Queue, is_suspect: bool) -> Requirement {
+        let sharing = if is_suspect {
+            Sharing::None
         } else {
-            required.max_per_worker
+            Sharing::Any
         };
         Requirement {
-            max_per_worker,
-            exclusive,
-            ..required
+            sharing,
+            ..requirement(spec, queue, &self.racks, self.bounds.far_factor)
         }
     }
 
@@ -598,7 +607,7 @@
         single_zone: false,
         serving: spec.target_ms > 0,
         best_effort: spec.best_effort,
-        exclusive: false,
+        sharing: Sharing::Any,
     }
 }
 
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -85,6 +85,8 @@
         }
         if check_runs {
             self.permits.retain(|step| state.open.contains(&step.job));
+            self.trial_waits
+                .retain(|step, _| state.open.contains(&step.job));
         }
     }
 
--- a/src/core/plane/state.rs
+++ b/src/core/plane/state.rs
@@ -183,6 +183,13 @@
             .map(|(&task, _)| task)
     }
 
+    /// Returns whether a task may have crashed a worker and another one crashed shortly after its
+    /// next start.
+    pub fn has_crashed_on_trial(&self, task: TaskName) -> bool {
+        let crashes = self.crashes.get(&task);
+        crashes.is_some_and(|crashes| crashes.on_trial > 0)
+    }
+
     /// Returns a worker incarnation.
     pub fn worker(&self, key: WorkerKey) -> &Worker {
         &self.workers[key.0 as usize]
@@ -473,8 +480,10 @@
             Termination::Failed => {
                 failed = count_failure(step, index, gang, end.run, attempts) && !long_running;
             }
-            // A service outlives any number of workers.
-            Termination::Lost if long_running => {}
+            // A service outlives any number of workers, and its run has outlived its start.
+            Termination::Lost if long_running => {
+                self.crashes.remove(&end.task);
+            }
             Termination::Crashed | Termination::Lost => {
                 let crashes = self.crashes.entry(end.task).or_default();
                 failed = crashes.count(end.how == Termination::Crashed);
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -4,9 +4,12 @@
 #[path = "support/plane.rs"]
 mod support;
 
+use std::ops::Range;
+
 use plantaincross::core::plane::codec;
 use plantaincross::core::plane::job::{Status, StepSpec};
 use plantaincross::core::plane::lead::Query;
+use plantaincross::core::plane::plan::Permission;
 use plantaincross::core::plane::state::State;
 use plantaincross::core::plane::types::{JobId, Resources};
 use plantaincross::core::plane::worker::Report;
@@ -21,6 +24,11 @@
 /// the promise to operators.
 const STARTS_MAX: u64 = 5;
 const DEADLY_JOB: u64 = 100_000;
+/// Workers of a small fleet.
+const FEW_WORKERS: usize = 8;
+/// Time in which a task runs again after the crash of its worker, as promised to users: 6 s after
+/// its last run, and the 3 s for which it may have none from then on.
+const RESTART_MAX_MS: u64 = 9_000;
 
 fn cell(seed: u64) -> Cell {
     let queues = vec![queue("urgent", 0, None), queue("batch", 1, None)];
@@ -128,6 +136,103 @@
     assert_only_deadly_jobs_fail(&cell);
 }
 
+fn service(count: u16, cores: i64) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        ..tasks(count, cores, 60_000)
+    }
+}
+
+fn limited(max_per_worker: u16, step: StepSpec) -> StepSpec {
+    StepSpec {
+        max_per_worker,
+        ..step
+    }
+}
+
+fn small_cell(seed: u64, permission: Option<Permission>) -> Cell {
+    let queues = vec![queue("batch", 1, None), queue("permitted", 1, permission)];
+    let mut cell = Cell::new(seed, FEW_WORKERS, queues, Resources::default());
+    cell.run_for(100);
+    cell
+}
+
+// Checks that all tasks of a service run again in time after their workers have crashed shortly
+// after the tasks have started.
+fn assert_service_is_back(seed: u64, queue: &str, step: StepSpec, crashed: Range<usize>) {
+    const PERMISSION: Permission = Permission {
+        decide_ms: 30.0,
+        each_ms: 0.5,
+        valid_ms: 2_500,
+    };
+    let mut cell = small_cell(seed, Some(PERMISSION));
+    cell.submit(queue, 1, vec![step], 60_000);
+    while !cell.waiting_since.is_empty() {
+        cell.step();
+    }
+    cell.run_for(100);
+    cell.cut_power(crashed);
+    assert!(!cell.waiting_since.is_empty());
+    cell.run_for(RESTART_MAX_MS);
+    let waiting = cell.waiting_since.len();
+    assert_eq!(waiting, 0, "tasks of the service that wait to start");
+    assert_only_deadly_jobs_fail(&cell);
+}
+
+macro_rules! services_after_a_crash {
+    ($($name:ident: $seed:expr, $queue:expr, $step:expr, $crashed:expr;)*) => {
+        $(#[test] fn $name() { assert_service_is_back($seed, $queue, $step, $crashed); })*
+    };
+}
+
+// Guards against tasks of a service that wait for ever for a worker of their own after a crash.
+services_after_a_crash! {
+    a_service_is_back_after_a_crash_of_its_worker: 12, "batch", service(24, 1), 0..8;
+    a_service_on_all_workers_is_back_after_they_crash:
+        13, "batch", limited(3, service(24, 1)), 0..8;
+    a_service_on_all_workers_is_back_after_half_of_them_crash:
+        14, "batch", limited(10, service(80, 3)), 0..4;
+    a_service_with_permits_is_back_after_its_workers_crash:
+        15, "permitted", limited(3, service(9, 1)), 0..8;
+    a_service_that_fills_its_workers_is_back_after_they_crash: 16, "batch", service(32, 8), 0..8;
+}
+
+// Checks that the tasks of a job start again in time after a crash, on a fleet each worker of
+// which runs a service.
+fn assert_job_is_back_beside_services(seed: u64, step: StepSpec) {
+    let mut cell = small_cell(seed, None);
+    let workers = FEW_WORKERS as u16;
+    let services = limited(1, service(workers, 1));
+    cell.submit("batch", 1, vec![services], 60_000);
+    cell.run_for(2_000);
+    let starts_before: Vec<u64> = cell.workers.iter().map(|worker| worker.starts).collect();
+    cell.submit("batch", 2, vec![step], TASK_MS);
+    cell.run_for(100);
+    for (at, before) in starts_before.into_iter().enumerate() {
+        if cell.workers[at].starts > before {
+            cell.cut_power(at..at + 1);
+        }
+    }
+    cell.run_for(RESTART_MAX_MS + TASK_MS);
+    assert!(!cell.unfinished().contains(&JobId(2)));
+    assert_only_deadly_jobs_fail(&cell);
+}
+
+macro_rules! jobs_beside_services {
+    ($($name:ident: $seed:expr, $step:expr;)*) => {
+        $(#[test] fn $name() { assert_job_is_back_beside_services($seed, $step); })*
+    };
+}
+
+// Guards against jobs that wait for ever for a worker of their own where each runs a service.
+jobs_beside_services! {
+    tasks_start_again_after_a_crash_beside_services: 21, tasks(4, 4, TASK_MS);
+    tasks_limited_per_worker_start_again_after_a_crash_beside_services:
+        22, limited(1, tasks(4, 4, TASK_MS));
+    a_gang_starts_again_after_a_crash_beside_services:
+        23, StepSpec { gang: true, ..tasks(6, 9, TASK_MS) };
+}
+
 #[test]
 fn workers_behind_a_cut_are_not_counted_as_crashed() {
     let mut cell = cell(6);
