Tell the time of a crash by the break of connections

Cause: a run is a suspect if it was ordered at most 250 ms before its worker was last heard of. A worker that runs tasks answers an inspection after up to 0.8 s, so a run that had worked for that long still counted as started shortly before.

Change: a connection that breaks before its answer times out shows that the worker had run until then; the time up to which the leader has caught up is taken for the break, so that a late leader does not clear a suspect. Later breaks before the next answer tell nothing. A worker that only falls silent is judged by its last answer, as before.

`a_run_is_no_suspect_of_a_crash_long_after_its_start` fails without the change; its counterpart, a crash 100 ms after the start, passes with and without it.

--- a/src/core/plane/lead/channel.rs
+++ b/src/core/plane/lead/channel.rs
@@ -170,6 +170,9 @@
     pub reading: Option<Reading>,
     /// Time of the latest answer to any order.
     pub heard_at: Moment,
+    /// Latest time at which the worker is known to have run: its latest answer, or the later
+    /// break of a connection on which an answer was due.
+    pub alive_at: Moment,
     /// Time of the latest report.
     pub reported_at: Moment,
     /// Latest lease expiry that was sent, in milliseconds on the worker's clock.
@@ -234,6 +237,7 @@
             adopted: false,
             reading: None,
             heard_at: now,
+            alive_at: now,
             reported_at: now,
             lease_until: 0,
             all_ended_by,
@@ -333,6 +337,7 @@
     /// Records an answer that carries the worker's clock.
     pub fn record_answer(&mut self, now: Moment, clock_ms: u64) {
         self.heard_at = now;
+        self.alive_at = now;
         self.unanswered_since = None;
         self.reading = Some(Reading { clock_ms, at: now });
     }
@@ -342,6 +347,14 @@
         self.unanswered_since.get_or_insert(sent_at);
     }
 
+    /// Records that a connection on which an answer was due broke no earlier than `at`. Further
+    /// ones tell nothing until the worker answers again.
+    pub fn record_break(&mut self, at: Moment) {
+        if self.unanswered_since.is_none() {
+            self.alive_at = self.alive_at.max(at);
+        }
+    }
+
     /// Records that the reply to an order is due at `at`.
     pub fn await_reply(&mut self, number: u64, at: Moment) {
         self.awaited_replies.push(AwaitedReply {
--- a/src/core/plane/lead/inspect.rs
+++ b/src/core/plane/lead/inspect.rs
@@ -91,6 +91,7 @@
             is_start: false,
             seen,
             sent_at: now.at,
+            times_out_at: now.at,
         };
         self.order(now, state, key, sent, Work::Inspect { until, seen, wait })
     }
--- a/src/core/plane/lead/io.rs
+++ b/src/core/plane/lead/io.rs
@@ -10,6 +10,7 @@
 use crate::core::plane::types::{StepName, TaskName, Termination, WorkerKey};
 use crate::core::plane::worker::{Departure, Report};
 use crate::core::registry::InstanceId;
+use crate::core::time::Moment;
 
 /// Number of a query from a caller, worker or operator. The answer carries the same
 /// number.
@@ -463,5 +464,7 @@
     /// Number up to which an inspection acknowledged ends as committed.
     pub seen: u64,
     /// Time at which the order was sent.
-    pub sent_at: crate::core::time::Moment,
+    pub sent_at: Moment,
+    /// Time until which its reply is awaited.
+    pub times_out_at: Moment,
 }
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -381,7 +381,7 @@
         let is_asking = queue.permission.is_some() && self.permits.is_waiting(now.at, name);
         let reason = if is_asking {
             WaitReason::Permit
-        } else if required.sharing != Sharing::Any {
+        } else if required.sharing == Sharing::None {
             WaitReason::TrialWorker
         } else {
             WaitReason::Room
--- a/src/core/plane/lead/replies.rs
+++ b/src/core/plane/lead/replies.rs
@@ -27,6 +27,9 @@
             return;
         };
         channel.end_wait(number);
+        if matches!(reply, Reply::NoAnswer) && now.at < sent.times_out_at {
+            channel.record_break(self.caught_up_to);
+        }
         if let Reply::Replaced = reply {
             self.replaced(now, key);
             return;
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -33,8 +33,8 @@
 /// Weight of a stuck run in the failure score: high enough to exclude the worker from
 /// placement at once.
 const STUCK_FAILURE_WEIGHT: f64 = 2.0;
-/// A run that was ordered at most this long before its worker was last heard of, or later, may
-/// have crashed it.
+/// A run that was ordered at most this long before its worker is last known to have run, or
+/// later, may have crashed it.
 const SUSPICION_MAX: Duration = Duration::from_millis(250);
 /// Interval at which runs are checked for unanswered stops and for progress.
 const RUN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -183,6 +183,7 @@
             number,
             SentOrder {
                 sent_at: now.at,
+                times_out_at: now.at + wait + REPLY_TIMEOUT,
                 ..sent
             },
         );
@@ -251,6 +252,7 @@
             is_start: true,
             seen: 0,
             sent_at: now.at,
+            times_out_at: now.at,
         };
         self.order(now, state, worker, sent, work);
     }
@@ -281,6 +283,7 @@
             is_start: false,
             seen: 0,
             sent_at: now.at,
+            times_out_at: now.at,
         };
         self.order(now, state, key, sent, Work::Stop { task, run });
     }
@@ -500,9 +503,9 @@
     // Ends the runs of an incarnation that ended without an announcement. The runs that
     // started last may have crashed the worker.
     fn end_all_as_crashed(&mut self, key: WorkerKey, state: &State, by: &'static str) {
-        let heard_at = self.channels[key].heard_at;
+        let alive_at = self.channels[key].alive_at;
         self.end_all(key, state, by, |live| {
-            if heard_at.since(live.ordered_at) <= SUSPICION_MAX {
+            if alive_at.since(live.ordered_at) <= SUSPICION_MAX {
                 Termination::Crashed
             } else {
                 Termination::Lost
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -233,6 +233,38 @@
         23, StepSpec { gang: true, ..tasks(6, 9, TASK_MS) };
 }
 
+// Returns whether a job is a suspect after a crash of its worker `after` milliseconds after the
+// start of its tasks.
+fn is_suspect_after_crash(seed: u64, after: u64) -> bool {
+    let mut cell = small_cell(seed, None);
+    cell.resets_connections = true;
+    cell.submit("batch", 1, tasks_of(2_000), 2_000);
+    while cell.starts_of(1) < TASKS.into() {
+        cell.step();
+    }
+    cell.run_for(after);
+    cell.cut_power(0..FEW_WORKERS);
+    cell.run_for(4_000);
+    cell.state.has_suspects()
+}
+
+fn tasks_of(ms: u64) -> Vec<StepSpec> {
+    vec![tasks(TASKS, 4, ms)]
+}
+
+macro_rules! suspects {
+    ($($name:ident: $seed:expr, $after:expr => $expected:expr;)*) => {
+        $(#[test] fn $name() { assert_eq!(is_suspect_after_crash($seed, $after), $expected); })*
+    };
+}
+
+// Guards against innocent suspects: a worker that has run tasks for a while without a reply is
+// known to have been alive when its connection breaks.
+suspects! {
+    a_run_is_a_suspect_of_a_crash_shortly_after_its_start: 31, 100 => true;
+    a_run_is_no_suspect_of_a_crash_long_after_its_start: 32, 700 => false;
+}
+
 #[test]
 fn workers_behind_a_cut_are_not_counted_as_crashed() {
     let mut cell = cell(6);
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -176,6 +176,8 @@
     pub faults: Faults,
     /// Whether connections to unreachable workers fail at once.
     pub refuses_connections: bool,
+    /// Whether the connections of a worker break when it crashes, as those of a process do.
+    pub resets_connections: bool,
     /// Maximum time, in milliseconds, by which the leader sends an order after its decision.
     /// It handles each input that much later than the input arrives.
     pub leader_delay_ms: u64,
@@ -266,6 +268,7 @@
             workers: Vec::new(),
             faults: Faults::default(),
             refuses_connections: false,
+            resets_connections: false,
             leader_delay_ms: 0,
             costs: Costs::default(),
             leader_busy_until_us: 0,
@@ -1125,6 +1128,25 @@
     pub fn crash(&mut self, at: usize) {
         self.workers[at].up = false;
         self.drop_runs(at);
+        if self.resets_connections {
+            self.reset_connections(at);
+        }
+    }
+
+    // Breaks the connections on which inspections wait for the end of a run.
+    fn reset_connections(&mut self, at: usize) {
+        let waiting: Vec<u64> = self
+            .events
+            .values()
+            .filter_map(|event| match event {
+                Event::Inspect(order, worker, _) if *worker == at as u64 => Some(order),
+                _ => None,
+            })
+            .map(|order| order.number + (order.fence << 40))
+            .collect();
+        for key in waiting {
+            self.schedule_input(NETWORK_DELAY_MS, Event::Answer(key, Reply::NoAnswer));
+        }
     }
 
     /// Crashes a worker and restarts it at once under its id and address. Orders under
