Log the incarnation of each run, and starts that are declined

`placed`, `ended` and `worker_adopted` named the worker's id alone, which both incarnations have, and a declined start left no line but that of its end.

They now give the start of the incarnation, and `start_declined` gives the reason.

--- a/src/core/plane/lead/io.rs
+++ b/src/core/plane/lead/io.rs
@@ -331,11 +331,27 @@
         run: u32,
         /// Id of the worker.
         worker: String,
+        /// Start of the worker's incarnation, in milliseconds since the Unix epoch.
+        born_ms: u64,
         /// Time since acceptance of the job, in milliseconds.
         waited_ms: u64,
         /// Whether the task, or a member of its gang, may have crashed a worker.
         on_trial: bool,
     },
+    /// A worker declined a start order.
+    StartDeclined {
+        /// Name of the task.
+        task: String,
+        /// Run number.
+        run: u32,
+        /// Id of the worker.
+        worker: String,
+        /// Start of the incarnation that the order was meant for, in milliseconds since the Unix
+        /// epoch.
+        born_ms: u64,
+        /// Reason that the worker gave.
+        why: Declined,
+    },
     /// A run ended.
     Ended {
         /// Name of the task.
@@ -344,6 +360,8 @@
         run: u32,
         /// Id of the worker.
         worker: String,
+        /// Start of the worker's incarnation, in milliseconds since the Unix epoch.
+        born_ms: u64,
         /// Result of the run.
         how: Termination,
         /// How the leader learned of the end, such as from the worker's list or an
@@ -402,7 +420,9 @@
     WorkerAdopted {
         /// Id of the worker.
         worker: String,
-        /// Fencing token of the leader.
+        /// Start of the incarnation that answered, in milliseconds since the Unix epoch.
+        born_ms: u64,
+        /// Fencing token of the inspection.
         fence: u64,
         /// Number of runs that the worker listed.
         running: usize,
--- a/src/core/plane/lead/replies.rs
+++ b/src/core/plane/lead/replies.rs
@@ -84,6 +84,14 @@
                 }
             }
             Reply::Declined(why) => {
+                let report = &state.worker(key).report;
+                self.note(Note::StartDeclined {
+                    task: task.to_string(),
+                    run,
+                    worker: report.id.clone(),
+                    born_ms: report.born_ms,
+                    why: *why,
+                });
                 self.declined(now, state, key, task, *why);
                 self.end_as_void(state, key, task, run, "start declined");
             }
@@ -190,8 +198,10 @@
         let is_first = !channel.adopted;
         channel.adopted = true;
         if is_first {
+            let report = &state.worker(key).report;
             let note = Note::WorkerAdopted {
-                worker: state.worker(key).report.id.clone(),
+                worker: report.id.clone(),
+                born_ms,
                 fence: self.fence,
                 running: lists.running.len(),
             };
@@ -292,10 +302,12 @@
         }
         let live = channel.live()[&row.task];
         self.update_statistics(now, state, key, row, &live);
+        let report = &state.worker(key).report;
         self.note(Note::Ended {
             task: row.task.to_string(),
             run: row.run,
-            worker: state.worker(key).report.id.clone(),
+            worker: report.id.clone(),
+            born_ms: report.born_ms,
             how: row.how,
             by: "worker's list",
         });
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -243,6 +243,7 @@
             task: task.to_string(),
             run,
             worker: assigned_worker.report.id.clone(),
+            born_ms: assigned_worker.report.born_ms,
             waited_ms: now.wall_ms.saturating_sub(job.accepted_ms),
             on_trial,
         });
@@ -362,10 +363,12 @@
             checkpoint: None,
         });
         self.dirty = true;
+        let report = &state.worker(key).report;
         self.note(Note::Ended {
             task: task.to_string(),
             run,
-            worker: state.worker(key).report.id.clone(),
+            worker: report.id.clone(),
+            born_ms: report.born_ms,
             how,
             by,
         });
