Tell a worker's incarnations apart by the fencing token

Cause: an order named its receiver by the id, which a worker keeps when it starts again. A start that was held up for 6 s arrived after the worker had confirmed the stop of its run, crashed and come back: the later incarnation knew of no stop, had the same term as fencing token, and its clock was behind the end of the lease. It started run 1 while run 3 was at work elsewhere.

Ruled out by the log lines of: a run that is ordered twice (`placed` shows run 1 once), and another worker at the address (`worker_adopted`). Weighed and not taken: having each incarnation refuse, run by run, what was ordered before (covers starts only), and waiting with the next run until a late order can no longer arrive (12 s a lost answer).

The token is now the term followed by the key of the incarnation in the replicated state. It rises with both, so the first order to an incarnation invalidates all that were sent to its predecessors, including stops, lease renewals and acknowledgements.

The simulation dropped late orders that met a later incarnation. It delivers them now once that one has been called; earlier ones no leader can prevent.

--- a/src/core/plane/lead/io.rs
+++ b/src/core/plane/lead/io.rs
@@ -105,6 +105,31 @@
     Overloaded,
 }
 
+/// Number of bits of a fencing token that tell a worker's incarnations apart.
+const INCARNATION_BITS: u32 = u32::BITS;
+
+/// Fencing token of an order. Workers reject orders with a lower token than the highest they
+/// have seen since they started.
+///
+/// A later term has a higher token, and so has a later incarnation of a worker within a term:
+/// once it has received an order of its own, it rejects those for its predecessors, which may
+/// arrive seconds after they were sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fence(u64);
+
+impl Fence {
+    /// Creates the token of orders that the leader of `term` sends to a worker incarnation.
+    pub const fn new(term: u64, worker: WorkerKey) -> Self {
+        Self(term << INCARNATION_BITS | worker.0 as u64)
+    }
+
+    /// Returns the term of the leader.
+    pub const fn term(self) -> u64 {
+        self.0 >> INCARNATION_BITS
+    }
+}
+
 /// Order to a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Order {
@@ -114,9 +139,8 @@
     pub worker: String,
     /// Address of the worker.
     pub address: String,
-    /// Fencing token. Workers reject orders with a lower token than the highest they have
-    /// seen.
-    pub fence: u64,
+    /// Fencing token of the leader's term and the incarnation that the order is meant for.
+    pub fence: Fence,
     /// Time to wait for the reply.
     pub timeout: Duration,
     /// Content of the order.
@@ -423,7 +447,7 @@
         /// Start of the incarnation that answered, in milliseconds since the Unix epoch.
         born_ms: u64,
         /// Fencing token of the inspection.
-        fence: u64,
+        fence: Fence,
         /// Number of runs that the worker listed.
         running: usize,
     },
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -25,7 +25,7 @@
 pub use channel::{Channel, Live, Reading};
 pub use channels::Channels;
 pub use io::{
-    Action, Answer, Call, Declined, Effect, EndRow, Lists, Note, Order, Permission,
+    Action, Answer, Call, Declined, Effect, EndRow, Fence, Lists, Note, Order, Permission,
     PermissionRequest, Query, Refusal, Reply, Request, RunningRow, Work,
 };
 pub use order::{Rank, rank};
@@ -90,7 +90,7 @@
 /// Leader of the task plane for one term.
 #[derive(Debug)]
 pub struct Lead {
-    fence: u64,
+    term: u64,
     since: Moment,
     /// Time up to which the leader has handled what it would have received without a delay of
     /// its own. Silence is counted up to this time.
@@ -150,9 +150,9 @@
 impl Lead {
     /// Starts a term. Orders of earlier leaders may still be carried out until their
     /// leases have expired.
-    pub fn new(now: Now, fence: u64, bounds: Bounds, state: &State) -> Self {
+    pub fn new(now: Now, term: u64, bounds: Bounds, state: &State) -> Self {
         let mut lead = Self {
-            fence,
+            term,
             since: now.at,
             caught_up_to: now.at,
             delay: Duration::ZERO,
--- a/src/core/plane/lead/replies.rs
+++ b/src/core/plane/lead/replies.rs
@@ -4,7 +4,7 @@
 
 use super::channel::{Live, Progress};
 use super::inspect::{ACKNOWLEDGE_DELAY, INSPECT_RETRY, TRIAL_INSPECT_INTERVAL};
-use super::io::{Declined, EndRow, Lists, Note, Reply, RunningRow, SentOrder};
+use super::io::{Declined, EndRow, Fence, Lists, Note, Reply, RunningRow, SentOrder};
 use super::workers::{REPLY_TIMEOUT, is_wanted};
 use super::{Lead, Now};
 use crate::core::plane::state::{Command, End, State};
@@ -202,7 +202,7 @@
             let note = Note::WorkerAdopted {
                 worker: report.id.clone(),
                 born_ms,
-                fence: self.fence,
+                fence: Fence::new(self.term, key),
                 running: lists.running.len(),
             };
             self.note(note);
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -4,7 +4,7 @@
 
 use super::channel::{Channel, Live, REPLY_OVERDUE_MAX, Shutdown, Traits};
 use super::inspect::INSPECT_WAIT;
-use super::io::{Effect, Note, Order, SentOrder, Work};
+use super::io::{Effect, Fence, Note, Order, SentOrder, Work};
 use super::trial::TRIAL;
 use super::{Lead, Now};
 use crate::core::plane::job::{Phase, Status};
@@ -175,7 +175,7 @@
             number,
             worker: report.id.clone(),
             address: report.address.clone(),
-            fence: self.fence,
+            fence: Fence::new(self.term, key),
             timeout: wait + REPLY_TIMEOUT,
             task: work,
         };
--- a/tests/incarnations.rs
+++ b/tests/incarnations.rs
@@ -1,4 +1,4 @@
-//! Messages that arrive after the worker that sent them has started again under its id.
+//! Messages from and orders to a worker that arrive after it has started again under its id.
 
 #[path = "support/plane.rs"]
 mod support;
@@ -91,3 +91,47 @@
     cell.run_for(TASK_MS);
     assert!(cell.unfinished().is_empty());
 }
+
+/// Time by which a start order is delayed.
+const START_DELAY_MS: u64 = 6_000;
+/// Run time of a task that is still running when the delayed order arrives.
+const LONG_TASK_MS: u64 = 12_000;
+
+// Checks that a start order which arrives late, after its run was given up and the worker has
+// started again, starts nothing. The simulation checks that no task runs twice.
+fn assert_late_start_is_refused(seed: u64, restarts: u32, takes_over: bool) {
+    let queues = vec![queue("batch", 1, None)];
+    let mut cell = Cell::new(seed, WORKERS.into(), queues, Resources::default());
+    cell.run_for(100);
+    cell.next_start_delay_ms = Some(START_DELAY_MS);
+    cell.submit("batch", 1, one_task_per_worker(1), LONG_TASK_MS);
+    cell.run_for(1_500);
+    let at = cell.delayed_start_at.expect("one start is delayed");
+    for _ in 0..restarts {
+        cell.restart(at);
+        // The next run is placed on another worker.
+        cell.drain(at);
+        cell.run_for(500);
+    }
+    if takes_over {
+        cell.take_over();
+    }
+    cell.run_for(START_DELAY_MS);
+    assert!(cell.workers[at].runs_are_empty());
+    cell.run_for(2 * LONG_TASK_MS);
+    assert!(cell.unfinished().is_empty());
+}
+
+macro_rules! late_starts {
+    ($($name:ident: $seed:expr, $restarts:expr, $takes_over:expr;)*) => {
+        $(#[test] fn $name() { assert_late_start_is_refused($seed, $restarts, $takes_over); })*
+    };
+}
+
+// Guards against tasks that run twice because a start order for an earlier incarnation of a
+// worker is carried out by a later one.
+late_starts! {
+    a_late_start_does_not_run_on_the_next_incarnation: 4, 1, false;
+    a_late_start_does_not_run_on_the_second_next_incarnation: 5, 2, false;
+    a_late_start_does_not_run_on_the_next_incarnation_under_the_next_leader: 6, 1, true;
+}
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -8,7 +8,7 @@
 
 use plantaincross::core::plane::job::{Status, StepSpec, Submission};
 use plantaincross::core::plane::lead::{
-    Action, Answer, Bounds, Call, Declined, Effect, EndRow, Lead, Lists, Note, Now, Order,
+    Action, Answer, Bounds, Call, Declined, Effect, EndRow, Fence, Lead, Lists, Note, Now, Order,
     Permission, PermissionRequest, Query, Reply, Request, RunningRow, WaitReason, Work,
 };
 use plantaincross::core::plane::plan::{self, Account, Config, Queue, Service};
@@ -73,7 +73,9 @@
     /// Call that reported draining.
     drain_call: Option<u64>,
     drained_at: Option<u64>,
-    fence: u64,
+    fence: Fence,
+    /// Whether an order has arrived that was sent to this incarnation.
+    has_orders: bool,
     deadline: u64,
     born_at: u64,
     runs: BTreeMap<TaskName, Running>,
@@ -93,6 +95,10 @@
         (now - self.born_at) * 98 / 100 + 1_000
     }
 
+    pub fn runs_are_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+
     fn used(&self) -> Resources {
         self.runs
             .values()
@@ -114,11 +120,19 @@
     }
 }
 
+/// How an order is delivered.
+#[derive(Clone, Copy, Debug)]
+struct Delivery {
+    /// Start of the worker's latest known incarnation when the order was sent.
+    born_ms: Option<u64>,
+    /// Whether the worker carries the order out late.
+    is_late: bool,
+}
+
 #[derive(Clone, Debug)]
 enum Event {
-    /// An order reaches a worker. With the third field set, the order was delayed on its
-    /// connection and reaches only the incarnation that had the connection.
-    Arrive(Box<Order>, u64, Option<u64>),
+    /// An order reaches a worker.
+    Arrive(Box<Order>, u64, Delivery),
     /// The wait of an inspection ends at the worker incarnation that received it.
     Inspect(Box<Order>, u64, u64),
     Answer(u64, Reply),
@@ -196,6 +210,10 @@
     pub requesters: u64,
     /// Whether one worker in three may run a step instead of two in three.
     pub is_strict: bool,
+    /// Time after which the next start order arrives, instead of at once. It is not answered.
+    pub next_start_delay_ms: Option<u64>,
+    /// Worker that the delayed start order was sent to.
+    pub delayed_start_at: Option<usize>,
     /// Instances whose permission requests are not answered.
     pub silent_requesters: BTreeSet<u64>,
     /// Total time that the permission service spent on requests, in milliseconds.
@@ -278,6 +296,8 @@
             permission_requests: 0,
             requesters: REQUESTERS,
             is_strict: false,
+            next_start_delay_ms: None,
+            delayed_start_at: None,
             silent_requesters: BTreeSet::new(),
             permission_ms: 0.0,
             first_start: BTreeMap::new(),
@@ -363,7 +383,8 @@
             stalls: false,
             drain_call: None,
             drained_at: None,
-            fence: 0,
+            fence: Fence::default(),
+            has_orders: false,
             deadline: 0,
             born_at: self.now,
             runs: BTreeMap::new(),
@@ -645,9 +666,8 @@
     }
 
     fn send(&mut self, order: Order) {
-        // Each leader numbers its orders from the start, so the fencing token is part of
-        // the key.
-        let key = order.number + (order.fence << 40);
+        // Each leader numbers its orders from the start, so the term is part of the key.
+        let key = order.number + (order.fence.term() << 40);
         self.open.insert(key);
         let timeout = order.timeout.as_millis() as u64;
         self.schedule_input(timeout, Event::Timeout(key));
@@ -659,28 +679,24 @@
             self.schedule_input(NETWORK_DELAY_MS, Event::Answer(key, Reply::NotSent));
             return;
         }
-        let mut incarnation = None;
+        let born_ms = current_incarnation(&self.state, &order.worker);
         let mut delayed_per_mille = self.faults.delayed_per_mille;
         if matches!(order.task, Work::Start { .. }) {
             delayed_per_mille = delayed_per_mille.max(self.faults.delayed_starts_per_mille);
         }
-        let delay = if self.rng.random_ratio(delayed_per_mille.min(1_000), 1_000) {
-            self.open.remove(&key);
-            self.schedule_input(timeout, Event::Answer(key, Reply::NoAnswer));
-            self.open.insert(key);
-            // An order does not name the incarnation that it is meant for. Had a delayed
-            // order reached a later incarnation, no leader could prevent the harm, so it
-            // is dropped instead.
-            incarnation = current_incarnation(&self.state, &order.worker);
-            self.rng.random_range(2_000..12_000)
-        } else {
-            NETWORK_DELAY_MS + self.sending_delay()
-        };
+        let is_drawn = self.rng.random_ratio(delayed_per_mille.min(1_000), 1_000);
+        let mut late_by = is_drawn.then(|| self.rng.random_range(2_000..12_000));
+        if matches!(order.task, Work::Start { .. })
+            && let Some(delay) = self.next_start_delay_ms.take()
+        {
+            late_by = Some(delay);
+            self.delayed_start_at = at;
+        }
+        let delay = late_by.unwrap_or_else(|| NETWORK_DELAY_MS + self.sending_delay());
         if let Some(at) = at {
-            self.schedule(
-                delay,
-                Event::Arrive(Box::new(order), at as u64, incarnation),
-            );
+            let is_late = late_by.is_some();
+            let delivery = Delivery { born_ms, is_late };
+            self.schedule(delay, Event::Arrive(Box::new(order), at as u64, delivery));
         }
     }
 
@@ -747,10 +763,16 @@
 
     fn process_event(&mut self, event: Event) {
         match event {
-            Event::Arrive(order, at, incarnation) => {
+            Event::Arrive(order, at, delivery) => {
                 let at = at as usize;
-                if incarnation.is_none_or(|born| born == self.workers[at].report.born_ms) {
-                    self.arrive(&order, at, incarnation.is_some());
+                let is_reachable = self.reaches(at);
+                let worker = &mut self.workers[at];
+                let is_intended = delivery.born_ms == Some(worker.report.born_ms);
+                worker.has_orders |= is_intended && is_reachable;
+                // No leader can prevent that a late order is carried out by a later incarnation
+                // that it has not called yet, so such an order is dropped.
+                if is_intended || !delivery.is_late || worker.has_orders {
+                    self.arrive(&order, at, delivery.is_late);
                 }
             }
             Event::Inspect(order, at, incarnation) => {
@@ -832,7 +854,7 @@
         if is_lost || self.now < worker.replies_lost_until || self.now < worker.unreachable_until {
             return;
         }
-        let key = order.number + (order.fence << 40);
+        let key = order.number + (order.fence.term() << 40);
         self.schedule_input(NETWORK_DELAY_MS, Event::Answer(key, reply));
     }
 
@@ -936,11 +958,11 @@
         if worker.runs.get(&task).is_some_and(|r| r.run == run) {
             return Reply::Done(clock);
         }
-        if worker
+        let is_old = worker
             .last_ended
             .get(&task)
-            .is_some_and(|&last_ended| run <= last_ended)
-        {
+            .is_some_and(|&last| run <= last);
+        if is_old || worker.runs.contains_key(&task) {
             return Reply::Declined(Declined::Old);
         }
         if until <= clock {
@@ -1142,7 +1164,7 @@
                 Event::Inspect(order, worker, _) if *worker == at as u64 => Some(order),
                 _ => None,
             })
-            .map(|order| order.number + (order.fence << 40))
+            .map(|order| order.number + (order.fence.term() << 40))
             .collect();
         for key in waiting {
             self.schedule_input(NETWORK_DELAY_MS, Event::Answer(key, Reply::NoAnswer));
@@ -1160,7 +1182,8 @@
         worker.ended.clear();
         worker.next_end = 0;
         worker.expired_through = 0;
-        worker.fence = 0;
+        worker.fence = Fence::default();
+        worker.has_orders = false;
         worker.deadline = 0;
         worker.born_at = now;
         worker.report.born_ms = now;
