Log the attempts that a queue allows and whether a start carries a permit

The lines gave the version of the configuration, but not what the job's queue says: neither the attempts that decided, nor whether a start had a permit. `job_failed` now has `attempts`, `placed` has `has_permit`.

--- a/src/core/plane/lead/io.rs
+++ b/src/core/plane/lead/io.rs
@@ -344,6 +344,8 @@
     JobFailed {
         /// Job id.
         job: String,
+        /// Number of attempts that the job's queue allows.
+        attempts: u32,
         /// Time since acceptance, in milliseconds.
         took_ms: u64,
     },
@@ -361,6 +363,8 @@
         waited_ms: u64,
         /// Whether the task, or a member of its gang, may have crashed a worker.
         on_trial: bool,
+        /// Whether the start order carries a permit.
+        has_permit: bool,
     },
     /// A worker declined a start order.
     StartDeclined {
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -386,6 +386,7 @@
                 }),
                 Status::Failed => self.note(Note::JobFailed {
                     job: job_id,
+                    attempts: state.queue(job.queue).attempts,
                     took_ms,
                 }),
                 // Cancellation is logged when the request is handled; the other two are
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -227,17 +227,16 @@
             channel.inspect_at = channel.inspect_at.min(now.at + INSPECT_AFTER_START);
         }
         let (_, _, found) = job.task(task).expect("wanted task");
+        let permits = self.permits.for_step(task.step);
+        let permit = permits.and_then(|known| known.permitted.get(&worker));
+        let has_permit = permit.is_some();
         let work = Work::Start {
             task,
             run,
             text: job.submission.text.clone(),
             until,
             checkpoint: found.checkpoint.clone(),
-            permit: self
-                .permits
-                .for_step(task.step)
-                .and_then(|known| known.permitted.get(&worker))
-                .map(|permit| permit.text.clone()),
+            permit: permit.map(|permit| permit.text.clone()),
         };
         self.note(Note::Placed {
             task: task.to_string(),
@@ -246,6 +245,7 @@
             born_ms: assigned_worker.report.born_ms,
             waited_ms: now.wall_ms.saturating_sub(job.accepted_ms),
             on_trial,
+            has_permit,
         });
         let sent = SentOrder {
             worker,
