Give jobs the version of their queue that is in force

Cause: `State::configure` adds a version of a queue only if no earlier one is equal, and `State::submit` took the last one added of that name. After a change was taken back, that is the change itself.

Evidence: `configured` and `job_accepted` show the version that took the change back, the starts have no permit and are declined, and no permission request is sent. Ruled out: an instance that has not applied the version, and a permission service that does not answer.

A job now gets the version that the configuration in force holds.

--- a/src/core/plane/state.rs
+++ b/src/core/plane/state.rs
@@ -316,18 +316,28 @@
         if self.jobs.contains_key(&submission.id) {
             return;
         }
-        let Some(queue) = self.queues.iter().rposition(|q| q.name == queue) else {
+        let Some(queue) = self.queue_in_force(queue) else {
             return;
         };
         let account = account
             .and_then(|name| self.accounts.iter().position(|a| a.name == name))
             .map(|at| AccountKey(at as u32));
         let id = submission.id;
-        let job = Job::new(submission, QueueKey(queue as u32), account, at_ms);
+        let job = Job::new(submission, queue, account, at_ms);
         self.open.insert(id);
         self.jobs.insert(id, job);
     }
 
+    // Returns the version of a queue that is in force, or the last one if the queue was removed.
+    fn queue_in_force(&self, name: &str) -> Option<QueueKey> {
+        let current = self.config.queues.iter().find(|queue| queue.name == name);
+        let key = match current {
+            Some(current) => self.queues.iter().position(|queue| queue == current),
+            None => self.queues.iter().rposition(|queue| queue.name == name),
+        };
+        key.map(|at| QueueKey(at as u32))
+    }
+
     fn remove_expired(&mut self, at_ms: u64) {
         while let Some(&(ended_ms, id)) = self.ended.front() {
             if ended_ms + RETENTION_MS > at_ms {
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use plantaincross::core::plane::codec::{decode_state, encode};
 use plantaincross::core::plane::job::{Status, StepSpec, Submission};
 use plantaincross::core::plane::lead::{
     Action, Answer, Bounds, Call, Declined, Effect, EndRow, Fence, Lead, Lists, Note, Now, Order,
@@ -251,6 +252,7 @@
     rng: ChaCha8Rng,
     acknowledged_done: BTreeSet<TaskName>,
     committed_failures: BTreeMap<TaskName, u32>,
+    queue_names: BTreeMap<JobId, String>,
     specs: BTreeMap<JobId, Vec<StepSpec>>,
     durations: BTreeMap<JobId, u64>,
     /// First due time and interval of repeating jobs.
@@ -321,6 +323,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             acknowledged_done: BTreeSet::new(),
             committed_failures: BTreeMap::new(),
+            queue_names: BTreeMap::new(),
             specs: BTreeMap::new(),
             durations: BTreeMap::new(),
             due: BTreeMap::new(),
@@ -504,6 +507,26 @@
         call
     }
 
+    /// Has the operator apply a configuration with these queues.
+    pub fn configure(&mut self, queues: Vec<Queue>) -> u64 {
+        let plan = Config {
+            version: self.state.config.version + 1,
+            queues,
+            ..self.state.config.clone()
+        };
+        self.query(Query::Configure {
+            plan: Box::new(plan),
+            document: Vec::new(),
+        })
+    }
+
+    /// Replaces the leader by one whose state comes from a snapshot.
+    pub fn take_over_from_snapshot(&mut self) {
+        let snapshot = encode(&self.state);
+        self.state = decode_state(&snapshot).expect("a snapshot is decoded");
+        self.take_over();
+    }
+
     pub fn request(&mut self, path: &str, action: Action) -> u64 {
         self.query(Query::Request(Box::new(Request {
             host: "h".to_owned(),
@@ -537,6 +560,7 @@
 
     fn submit_as(&mut self, queue: &str, id: u64, submission: Submission, ms: u64) {
         let id = JobId(id);
+        self.queue_names.insert(id, queue.to_owned());
         self.specs.insert(id, submission.steps.clone());
         self.durations.insert(id, ms);
         if submission.repeat > 0 {
@@ -873,7 +897,11 @@
         worker.fence = worker.fence.max(order.fence);
         match &order.task {
             Work::Start {
-                task, run, until, ..
+                task,
+                run,
+                until,
+                permit,
+                ..
             } => {
                 // The leader does not control when a delayed order arrives.
                 let drained = worker.drained_at.filter(|_| !is_late);
@@ -884,6 +912,8 @@
                 );
                 let reply = if fenced {
                     Reply::Declined(Declined::Fence)
+                } else if permit.is_none() && self.needs_permit(*task) {
+                    Reply::Declined(Declined::Permit)
                 } else {
                     self.start(at, *task, *run, (*until).min(lease_max), clock)
                 };
@@ -927,6 +957,13 @@
         }
     }
 
+    // Returns whether the queue of a task asks for permits in the configuration in force.
+    fn needs_permit(&self, task: TaskName) -> bool {
+        let name = &self.queue_names[&task.step.job];
+        let mut queues = self.state.config.queues.iter();
+        queues.any(|queue| queue.name == *name && queue.permission.is_some())
+    }
+
     fn answer_inspection(&mut self, order: &Order, at: usize) {
         if !self.reaches(at) || self.workers[at].fence > order.fence {
             return;
