Have accepted jobs follow their queue in the configuration in force

Cause: a job kept the version of its queue under which it was accepted, and planning read from it whether steps need permits. Its starts went out without one and were declined each 10 ms.

Evidence: `configured` shows the new version 5 s before the first start of the second step, `placed` shows no permit, `start_declined` gives `permit`, and no permission request is sent. Ruled out: an instance that is behind, a service that refuses or does not answer, permits that expire on their way.

The state now holds one entry for each queue, which each configuration replaces, so that whatever reads the queue of a job sees the configuration in force: permits, priority, goal, attempts. The list no longer grows with each change, and a configuration is no longer compared with every version before.

--- a/src/core/plane/codec.rs
+++ b/src/core/plane/codec.rs
@@ -22,12 +22,17 @@
     postcard::from_bytes(bytes)
 }
 
-/// Decodes a state, also one that was encoded before the state had a record of crashes.
+/// Decodes a state, also one of an earlier version: without a record of crashes, or with queues
+/// as they were when jobs were accepted.
 ///
 /// # Errors
 ///
 /// Fails if the bytes do not encode a state.
 pub fn decode_state(bytes: &[u8]) -> Result<State, postcard::Error> {
     // The record is the last field, and an empty one is encoded as a zero.
-    decode(bytes).or_else(|err| decode(&[bytes, &[0]].concat()).map_err(|_: postcard::Error| err))
+    let decoded: Result<State, _> = decode(bytes);
+    let mut state =
+        decoded.or_else(|err| decode(&[bytes, &[0]].concat()).map_err(|_: postcard::Error| err))?;
+    state.update_queues();
+    Ok(state)
 }
--- a/src/core/plane/job.rs
+++ b/src/core/plane/job.rs
@@ -218,7 +218,7 @@
 pub struct Job {
     /// Job as submitted. Its text and steps are cleared when the job ends.
     pub submission: Submission,
-    /// Queue in the version under which the job was accepted.
+    /// Queue, which follows the configuration in force.
     pub queue: QueueKey,
     /// Client account; absent on an open queue without a key.
     pub account: Option<AccountKey>,
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -614,7 +614,7 @@
 // Returns the workers of the job's service that have the step's label. The result is cached
 // for the round.
 fn eligible(state: &State, round: &mut Round, job: &Job, spec: &StepSpec) -> Rc<Vec<WorkerKey>> {
-    let service = state.service_of(job.queue);
+    let service = state.queue(job.queue).service.as_str();
     let key = (service.to_owned(), spec.label.clone());
     if let Some(known) = round.eligible.get(&key) {
         return Rc::clone(known);
--- a/src/core/plane/state.rs
+++ b/src/core/plane/state.rs
@@ -1,6 +1,6 @@
 //! Replicated state of the task plane and the commands that change it.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -122,7 +122,8 @@
     pub config: Config,
     /// Current configuration document as the operator sent it.
     pub document: Vec<u8>,
-    /// Every version of every queue; indexed by [`QueueKey`].
+    /// Queues, including removed ones; indexed by [`QueueKey`]. A state of an earlier version may
+    /// have several entries of one queue.
     pub queues: Vec<Queue>,
     /// Client accounts, including removed ones; indexed by [`AccountKey`].
     pub accounts: Vec<Account>,
@@ -195,7 +196,8 @@
         &self.workers[key.0 as usize]
     }
 
-    /// Returns the queue in the version under which its jobs were accepted.
+    /// Returns a queue as the configuration in force defines it. A removed queue stays as it was
+    /// last.
     pub fn queue(&self, key: QueueKey) -> &Queue {
         &self.queues[key.0 as usize]
     }
@@ -208,14 +210,6 @@
             .filter(|(_, worker)| !worker.departed)
     }
 
-    /// Returns the service whose workers run the jobs of a queue under the current
-    /// configuration. A removed queue keeps the service it had last.
-    pub fn service_of(&self, key: QueueKey) -> &str {
-        let queue = self.queue(key);
-        let current = self.config.queues.iter().find(|q| q.name == queue.name);
-        &current.unwrap_or(queue).service
-    }
-
     /// Returns whether a run should go on: its job is open, the task is assigned to this
     /// worker under this run number, and its gang is not being stopped.
     pub fn is_wanted(&self, worker: WorkerKey, task: TaskName, run: u32) -> bool {
@@ -263,11 +257,6 @@
         if config.version <= self.config.version {
             return;
         }
-        for queue in &config.queues {
-            if !self.queues.contains(queue) {
-                self.queues.push(queue.clone());
-            }
-        }
         for account in &mut self.accounts {
             account.keys.clear();
         }
@@ -281,6 +270,24 @@
             .resize(self.accounts.len(), Resources::default());
         self.config = config;
         self.document = document;
+        self.update_queues();
+    }
+
+    /// Updates the queues to the configuration in force. Open jobs follow their queue.
+    pub(super) fn update_queues(&mut self) {
+        let known: HashSet<&str> = self.queues.iter().map(|q| q.name.as_str()).collect();
+        let current = self.config.queues.iter();
+        let added = current.filter(|queue| !known.contains(queue.name.as_str()));
+        let added: Vec<Queue> = added.cloned().collect();
+        self.queues.extend(added);
+        let current = self.config.queues.iter();
+        let current: HashMap<&str, &Queue> = current.map(|q| (q.name.as_str(), q)).collect();
+        for queue in &mut self.queues {
+            let found = current.get(queue.name.as_str());
+            if let Some(&current) = found.filter(|&&current| current != queue) {
+                queue.clone_from(current);
+            }
+        }
     }
 
     fn register(&mut self, report: Report) {
@@ -316,28 +323,18 @@
         if self.jobs.contains_key(&submission.id) {
             return;
         }
-        let Some(queue) = self.queue_in_force(queue) else {
+        let Some(queue) = self.queues.iter().position(|q| q.name == queue) else {
             return;
         };
         let account = account
             .and_then(|name| self.accounts.iter().position(|a| a.name == name))
             .map(|at| AccountKey(at as u32));
         let id = submission.id;
-        let job = Job::new(submission, queue, account, at_ms);
+        let job = Job::new(submission, QueueKey(queue as u32), account, at_ms);
         self.open.insert(id);
         self.jobs.insert(id, job);
     }
 
-    // Returns the version of a queue that is in force, or the last one if the queue was removed.
-    fn queue_in_force(&self, name: &str) -> Option<QueueKey> {
-        let current = self.config.queues.iter().find(|queue| queue.name == name);
-        let key = match current {
-            Some(current) => self.queues.iter().position(|queue| queue == current),
-            None => self.queues.iter().rposition(|queue| queue.name == name),
-        };
-        key.map(|at| QueueKey(at as u32))
-    }
-
     fn remove_expired(&mut self, at_ms: u64) {
         while let Some(&(ended_ms, id)) = self.ended.front() {
             if ended_ms + RETENTION_MS > at_ms {
--- a/src/core/plane/types.rs
+++ b/src/core/plane/types.rs
@@ -5,7 +5,7 @@
 use derive_more::{Add, AddAssign, Display, Sub, SubAssign};
 use serde::{Deserialize, Serialize};
 
-/// Index of a queue version in the replicated state.
+/// Index of a queue in the replicated state.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
