Play workers that start again and are cut off, with calls that outlive an incarnation

Cause: an inspection carries the number of the last end that is stored. One that was meant for an earlier incarnation and is carried out late drops the ends of a later one, which numbers its ends from 1. While that one is cut off, nobody has read them: its task is done, acknowledged, and unknown to the leader, which starts it again. In the same way a late renewal extends a lease that the leader takes to have run out, since the clock starts anew, and a late start runs.

Ruled out, by cases that hold with the term alone: the same late calls under the next leader where the term protects the start and the renewal.

Workers of the simulation now carry late orders out behind a cut, if they had received them before.

--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -147,13 +147,19 @@
     Crash(usize, u64),
     /// Start of a worker's next incarnation, under another id.
     Return(usize),
+    /// Start of a worker's next incarnation, under its id.
+    Restart(usize),
 }
 
 impl Event {
     fn is_input(&self) -> bool {
         !matches!(
             self,
-            Self::Arrive(..) | Self::Inspect(..) | Self::Crash(..) | Self::Return(..)
+            Self::Arrive(..)
+                | Self::Inspect(..)
+                | Self::Crash(..)
+                | Self::Return(..)
+                | Self::Restart(..)
         )
     }
 }
@@ -169,6 +175,9 @@
     pub lost_per_mille: u32,
 }
 
+/// Returns whether an order is of a kind.
+pub type OrderKind = fn(&Work) -> bool;
+
 /// Processor time that the leader takes, in microseconds.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Costs {
@@ -211,10 +220,10 @@
     pub requesters: u64,
     /// Whether one worker in three may run a step instead of two in three.
     pub is_strict: bool,
-    /// Time after which the next start order arrives, instead of at once. It is not answered.
-    pub next_start_delay_ms: Option<u64>,
-    /// Worker that the delayed start order was sent to.
-    pub delayed_start_at: Option<usize>,
+    /// Kind of which the next order is carried out late and not answered, and the delay.
+    pub next_late_order: Option<(OrderKind, u64)>,
+    /// Worker that the latest of these orders was sent to.
+    pub late_order_at: Option<usize>,
     /// Instances whose permission requests are not answered.
     pub silent_requesters: BTreeSet<u64>,
     /// Total time that the permission service spent on requests, in milliseconds.
@@ -298,8 +307,8 @@
             permission_requests: 0,
             requesters: REQUESTERS,
             is_strict: false,
-            next_start_delay_ms: None,
-            delayed_start_at: None,
+            next_late_order: None,
+            late_order_at: None,
             silent_requesters: BTreeSet::new(),
             permission_ms: 0.0,
             first_start: BTreeMap::new(),
@@ -710,11 +719,14 @@
         }
         let is_drawn = self.rng.random_ratio(delayed_per_mille.min(1_000), 1_000);
         let mut late_by = is_drawn.then(|| self.rng.random_range(2_000..12_000));
-        if matches!(order.task, Work::Start { .. })
-            && let Some(delay) = self.next_start_delay_ms.take()
-        {
+        let is_next = |(is_kind, _): &mut (OrderKind, u64)| is_kind(&order.task);
+        if let Some((_, delay)) = self.next_late_order.take_if(is_next) {
             late_by = Some(delay);
-            self.delayed_start_at = at;
+            self.late_order_at = at;
+        }
+        // A worker carries an order out late that has reached it in time.
+        if late_by.is_some() && at.is_some_and(|at| !self.reaches(at)) {
+            return;
         }
         let delay = late_by.unwrap_or_else(|| NETWORK_DELAY_MS + self.sending_delay());
         if let Some(at) = at {
@@ -847,6 +859,7 @@
                 self.workers[at].report.id = format!("w{at}-{}", self.now);
                 self.restart(at);
             }
+            Event::Restart(at) => self.restart(at),
             Event::Query(call, query) => {
                 self.handle_input(|lead, now, state| {
                     lead.handle_query(now, state, Call(call), *query)
@@ -883,7 +896,8 @@
     }
 
     fn arrive(&mut self, order: &Order, at: usize, is_late: bool) {
-        if !self.reaches(at) {
+        let is_received = self.reaches(at) || is_late && self.workers[at].up;
+        if !is_received {
             return;
         }
         if self.workers[at].report.id != order.worker {
@@ -1183,6 +1197,17 @@
         }
     }
 
+    /// Crashes a worker. It is back under its id after `ms`.
+    pub fn crash_for(&mut self, at: usize, ms: u64) {
+        self.crash(at);
+        self.schedule(ms, Event::Restart(at));
+    }
+
+    /// Cuts a worker off for `ms`.
+    pub fn cut(&mut self, at: usize, ms: u64) {
+        self.workers[at].unreachable_until = self.now + ms;
+    }
+
     /// Crashes a worker for good.
     pub fn crash(&mut self, at: usize) {
         self.workers[at].up = false;
