Repeat the first call to an incarnation once its answer is overdue

Callers could see a task run twice after a worker had started again: until it has received a first call, it carries out late orders for its earlier incarnations (TWICE).

Cause: where the first call got lost, the next one waited for its time-out, 0.6 s later. A worker that was cut off meanwhile was not called before the end of the cut.

Test: a_first_call_that_gets_lost_is_repeated_at_once fails before.

--- a/src/core/plane/lead/inspect.rs
+++ b/src/core/plane/lead/inspect.rs
@@ -21,7 +21,9 @@
 
 impl Lead {
     // Inspects a worker at once if a reply is overdue. An order that got lost, or that the
-    // worker carries out late, is noticed in this way long before it times out.
+    // worker carries out late, is noticed in this way long before it times out. A first call that
+    // is overdue is repeated: until a worker has received one, it carries out late orders for its
+    // earlier incarnations.
     pub(super) fn probe_if_overdue(&mut self, now: Now, state: &State, key: WorkerKey) {
         let caught_up_to = self.caught_up_to;
         let channel = self.channels.get_mut(key).expect("known worker");
@@ -36,6 +38,7 @@
                 live.in_doubt = true;
                 needs_probe = true;
             }
+            needs_probe |= !channel.adopted && channel.inspection == Some(number);
         }
         if needs_probe && !state.worker(key).departed {
             self.probe(now, state, key);
--- a/tests/incarnations.rs
+++ b/tests/incarnations.rs
@@ -274,3 +274,21 @@
     workers_that_start_again_and_are_cut_off: 1..=20, false;
     workers_that_start_again_and_are_cut_off_while_the_leader_changes: 21..=40, true;
 }
+
+/// Maximum time from the start of an incarnation to its first answer if the first call gets lost.
+const SECOND_CALL_MAX_MS: u64 = 200;
+
+// Guards against a long time in which a new incarnation carries out late orders for earlier ones,
+// because the first call to it got lost and the next one waits for its time-out.
+#[test]
+fn a_first_call_that_gets_lost_is_repeated_at_once() {
+    let queues = vec![queue("batch", 1, None)];
+    let mut cell = Cell::new(8, 1, queues, Resources::default());
+    cell.run_for(100);
+    cell.next_late_order = Some((|_| true, 8_000));
+    cell.restart(0);
+    cell.run_for(SECOND_CALL_MAX_MS);
+    assert_eq!(cell.late_order_at, Some(0));
+    let lead = cell.lead.as_ref().expect("a leader");
+    assert!(lead.channels()[cell.state.worker_keys["w0"]].adopted);
+}
