Have a new leader look for the runs of an ended incarnation on its successor

After a change of leader callers could see a task run again although its end had been acknowledged, or while it was at work (TWICE).

Cause: a worker that has started again under its id may have begun a run whose start was meant for its earlier incarnation. The leader that registers it looks for such runs on the later incarnation, but the next leader kept them under the earlier one, which no list answers for. An end that the later one listed was taken for that of an unknown run and acknowledged; the run ended as void with the lease and started again. The registration of any other worker ended such runs at once, while they went on behind a cut. No late order is needed.

Runs of an ended incarnation now move to the channel of its successor when a term begins. The first list decides: a run is stopped, an end counts, and what is absent is over, as the token of the first inspection invalidates all orders before. A registration concerns only incarnations under the same id or without a successor. What ends in this way after a change of leader is not counted as a crash under the task, since the new leader does not know whether the earlier incarnation had listed it.

--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -204,9 +204,48 @@
             }
             lead.channels.insert(key, channel);
         }
+        lead.inherit_runs(now, state);
         lead
     }
 
+    // Moves the runs of departed incarnations to the later ones under the same ids, which may have
+    // received the start orders. The first list of the later one shows what became of them.
+    fn inherit_runs(&mut self, now: Now, state: &State) {
+        let departed: Vec<WorkerKey> = self
+            .channels
+            .keys()
+            .filter(|&key| state.worker(key).departed)
+            .collect();
+        for old in departed {
+            let Some(new) = self.successor(state, old) else {
+                continue;
+            };
+            for (task, run) in &state.worker(old).runs {
+                let inherited = Live {
+                    run: run.run,
+                    ordered_at: now.at,
+                    from: Some(old),
+                    ..Live::default()
+                };
+                self.assign_to(new, *task, inherited);
+                self.assignments.remove(&(*task, old));
+            }
+            self.channels.remove(old);
+        }
+    }
+
+    /// Returns the latest incarnation under a worker's id, if it is a later one.
+    fn successor(&self, state: &State, worker: WorkerKey) -> Option<WorkerKey> {
+        let latest = *state.worker_keys.get(&state.worker(worker).report.id)?;
+        (latest != worker && self.channels.contains(latest)).then_some(latest)
+    }
+
+    fn assign_to(&mut self, worker: WorkerKey, task: TaskName, live: Live) {
+        let channel = self.channels.get_mut(worker).expect("known worker");
+        channel.insert(task, live);
+        self.assignments.insert((task, worker));
+    }
+
     /// Returns the time by which every run ordered until now has ended if its lease was
     /// not renewed.
     fn all_ended_by(&self, now: Moment) -> Moment {
--- a/src/core/plane/lead/replies.rs
+++ b/src/core/plane/lead/replies.rs
@@ -425,10 +425,9 @@
             if live.ending || is_listed {
                 continue;
             }
-            // The fencing token of a term's first inspection invalidates all orders sent
-            // before it.
-            let fenced = is_first && live.from.is_none();
-            if fenced || before(live.confirmed_at) || before(live.stopped_at) {
+            // The fencing token of the first inspection invalidates all orders sent before it, by
+            // earlier leaders or to earlier incarnations.
+            if is_first || before(live.confirmed_at) || before(live.stopped_at) {
                 voids.push((task, live.run));
             } else if live.in_doubt && live.stop_at.is_none() {
                 stops.push((task, live.run));
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -348,9 +348,9 @@
         if let Some(live) = channel.run_mut(task, run) {
             live.given_up = true;
         }
-        let from = channel.live()[&task].from;
+        let Live { from, in_doubt, .. } = channel.live()[&task];
         // The earlier incarnation crashed before it listed the run.
-        let how = if from.is_some() {
+        let how = if from.is_some() && in_doubt {
             Termination::Crashed
         } else {
             how
@@ -424,16 +424,14 @@
         end.worker
     }
 
-    // Ends the runs of an incarnation that a later one has replaced. If both have the
-    // same id, a start order may have reached the later one, unless the earlier one has
-    // listed the run. Such a run is stopped on the later incarnation before it counts as
-    // ended.
+    // Ends the runs of an incarnation that a later one under the same id has replaced. A start
+    // order may have reached the later one, unless the earlier one has listed the run. Such a run
+    // is stopped on the later incarnation before it counts as ended.
     fn replace(&mut self, now: Now, state: &State, old: WorkerKey, new: WorkerKey) {
-        let same_id = state.worker(old).report.id == state.worker(new).report.id;
         let runs: Vec<(TaskName, Live)> = self.channels[old]
             .live()
             .iter()
-            .filter(|(_, live)| same_id && !live.listed && !live.ending)
+            .filter(|(_, live)| !live.listed && !live.ending)
             .map(|(&task, &live)| (task, live))
             .collect();
         let all_ended_by = self.all_ended_by(now.at);
@@ -452,8 +450,7 @@
                 from: live.from.or(Some(old)),
                 ..Live::default()
             };
-            channel.insert(task, inherited);
-            self.assignments.insert((task, new));
+            self.assign_to(new, task, inherited);
             let why = "start order may have reached a later incarnation";
             self.stop(now, state, new, task, live.run, why);
         }
@@ -488,7 +485,10 @@
             .filter(|&other| state.worker(other).departed)
             .collect();
         for other in ended {
-            self.replace(now, state, other, key);
+            match self.successor(state, other) {
+                Some(later) => self.replace(now, state, other, later),
+                None => self.departed(state, other, "replacement by a later incarnation"),
+            }
         }
     }
 
--- a/tests/incarnations.rs
+++ b/tests/incarnations.rs
@@ -292,3 +292,45 @@
     let lead = cell.lead.as_ref().expect("a leader");
     assert!(lead.channels()[cell.state.worker_keys["w0"]].adopted);
 }
+
+// Has a worker start again while a start order is on its way to it, and cuts it off with the run
+// that its next incarnation has started. The leader changes before it hears of the run.
+fn assert_next_leader_looks_for_the_run(ms: u64, cut_ms: u64, registers_other: bool) {
+    let queues = vec![queue("batch", 1, None)];
+    let mut cell = Cell::new(9, 1, queues, Resources::default());
+    cell.run_for(100);
+    cell.submit("batch", 1, one_task_per_worker(1), ms);
+    while cell.state.workers[0].runs.is_empty() {
+        cell.step();
+    }
+    cell.restart(0);
+    while cell.workers[0].starts == 0 {
+        cell.step();
+    }
+    cell.cut(0, cut_ms);
+    while cell.state.workers.len() == 1 {
+        cell.step();
+    }
+    cell.take_over();
+    if registers_other {
+        cell.add_worker("idle", 1);
+    }
+    cell.run_for(cut_ms + 20_000 + 2 * ms);
+    assert!(cell.unfinished().is_empty());
+}
+
+macro_rules! leader_changes {
+    ($($name:ident: $ms:expr, $cut_ms:expr, $registers_other:expr;)*) => {
+        $(#[test] fn $name() {
+            assert_next_leader_looks_for_the_run($ms, $cut_ms, $registers_other);
+        })*
+    };
+}
+
+// Guards against tasks that run again after they were done, or while they run, because a new leader
+// does not look for the runs of an earlier incarnation on the one that has started them.
+leader_changes! {
+    a_run_that_is_done_on_the_next_incarnation_counts_under_the_next_leader: 1_000, 2_000, false;
+    a_run_that_goes_on_at_the_next_incarnation_is_not_started_again_when_another_worker_registers:
+        12_000, 4_000, true;
+}
