--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -6,6 +6,7 @@
 mod ask;
 mod channel;
 mod channels;
+mod fence;
 mod inspect;
 mod io;
 mod order;
@@ -15,6 +16,7 @@
 mod replies;
 mod requests;
 mod silence;
+mod successor;
 mod trial;
 mod waiting;
 mod workers;
@@ -24,8 +26,9 @@
 
 pub use channel::{Channel, Live, Reading};
 pub use channels::Channels;
+pub use fence::Fence;
 pub use io::{
-    Action, Answer, Call, Declined, Effect, EndRow, Fence, Lists, Note, Order, Permission,
+    Action, Answer, Call, Declined, Effect, EndRow, Lists, Note, Order, Permission,
     PermissionRequest, Query, Refusal, Reply, Request, RunningRow, Work,
 };
 pub use order::{Rank, rank};
@@ -208,44 +211,6 @@
         lead
     }
 
-    // Moves the runs of departed incarnations to the later ones under the same ids, which may have
-    // received the start orders. The first list of the later one shows what became of them.
-    fn inherit_runs(&mut self, now: Now, state: &State) {
-        let departed: Vec<WorkerKey> = self
-            .channels
-            .keys()
-            .filter(|&key| state.worker(key).departed)
-            .collect();
-        for old in departed {
-            let Some(new) = self.successor(state, old) else {
-                continue;
-            };
-            for (task, run) in &state.worker(old).runs {
-                let inherited = Live {
-                    run: run.run,
-                    ordered_at: now.at,
-                    from: Some(old),
-                    ..Live::default()
-                };
-                self.assign_to(new, *task, inherited);
-                self.assignments.remove(&(*task, old));
-            }
-            self.channels.remove(old);
-        }
-    }
-
-    /// Returns the latest incarnation under a worker's id, if it is a later one.
-    fn successor(&self, state: &State, worker: WorkerKey) -> Option<WorkerKey> {
-        let latest = *state.worker_keys.get(&state.worker(worker).report.id)?;
-        (latest != worker && self.channels.contains(latest)).then_some(latest)
-    }
-
-    fn assign_to(&mut self, worker: WorkerKey, task: TaskName, live: Live) {
-        let channel = self.channels.get_mut(worker).expect("known worker");
-        channel.insert(task, live);
-        self.assignments.insert((task, worker));
-    }
-
     /// Returns the time by which every run ordered until now has ended if its lease was
     /// not renewed.
     fn all_ended_by(&self, now: Moment) -> Moment {
--- a/src/core/plane/lead/replies.rs
+++ b/src/core/plane/lead/replies.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use super::channel::{Live, Progress};
+use super::fence::Fence;
 use super::inspect::{ACKNOWLEDGE_DELAY, INSPECT_RETRY, TRIAL_INSPECT_INTERVAL};
-use super::io::{Declined, EndRow, Fence, Lists, Note, Reply, RunningRow, SentOrder};
+use super::io::{Declined, EndRow, Lists, Note, Reply, RunningRow, SentOrder};
 use super::workers::{REPLY_TIMEOUT, is_wanted};
 use super::{Lead, Now};
 use crate::core::plane::state::{Command, End, State};
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use super::channel::{Channel, Live, REPLY_OVERDUE_MAX, Shutdown, Traits};
+use super::fence::Fence;
 use super::inspect::INSPECT_WAIT;
-use super::io::{Effect, Fence, Note, Order, SentOrder, Work};
+use super::io::{Effect, Note, Order, SentOrder, Work};
 use super::trial::TRIAL;
 use super::{Lead, Now};
 use crate::core::plane::job::{Phase, Status};
@@ -424,39 +425,6 @@
         end.worker
     }
 
-    // Ends the runs of an incarnation that a later one under the same id has replaced. A start
-    // order may have reached the later one, unless the earlier one has listed the run. Such a run
-    // is stopped on the later incarnation before it counts as ended.
-    fn replace(&mut self, now: Now, state: &State, old: WorkerKey, new: WorkerKey) {
-        let runs: Vec<(TaskName, Live)> = self.channels[old]
-            .live()
-            .iter()
-            .filter(|(_, live)| !live.listed && !live.ending)
-            .map(|(&task, &live)| (task, live))
-            .collect();
-        let all_ended_by = self.all_ended_by(now.at);
-        for (task, live) in runs {
-            self.channels
-                .get_mut(old)
-                .expect("known worker")
-                .remove(task);
-            self.assignments.remove(&(task, old));
-            let channel = self.channels.get_mut(new).expect("known worker");
-            channel.all_ended_by = channel.all_ended_by.max(all_ended_by);
-            let inherited = Live {
-                run: live.run,
-                ordered_at: now.at,
-                in_doubt: true,
-                from: live.from.or(Some(old)),
-                ..Live::default()
-            };
-            self.assign_to(new, task, inherited);
-            let why = "start order may have reached a later incarnation";
-            self.stop(now, state, new, task, live.run, why);
-        }
-        self.departed(state, old, "replacement by a later incarnation");
-    }
-
     pub(super) fn registered(&mut self, now: Now, state: &State, id: &str) {
         let Some(&key) = state.worker_keys.get(id) else {
             return;
