Deliver late orders in the simulation also when they were held up on their way

Both kinds are played now: orders that had reached the worker are carried out behind a cut, and others arrive after it.

--- a/tests/incarnations.rs
+++ b/tests/incarnations.rs
@@ -172,14 +172,13 @@
     assert_eq!(cell.running(), usize::from(WORKERS));
     cell.add_worker("idle", 4);
     let lease_ms = BOUNDS.max_lease.as_millis() as u64;
-    cell.cut(
-        at,
-        if ms < lease_ms {
-            lease_ms / 2
-        } else {
-            2 * lease_ms
-        },
-    );
+    // The run ends during the cut, or its lease does.
+    let cut_ms = if ms < lease_ms {
+        lease_ms / 2
+    } else {
+        2 * lease_ms
+    };
+    cell.cut(at, cut_ms);
     if takes_over {
         cell.take_over();
     }
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -126,8 +126,11 @@
 struct Delivery {
     /// Start of the worker's latest known incarnation when the order was sent.
     born_ms: Option<u64>,
-    /// Whether the worker carries the order out late.
+    /// Whether the order is carried out late.
     is_late: bool,
+    /// Whether it had reached the worker in time, which carries it out even if it is cut off by then.
+    /// Other late orders are held up on their way.
+    is_held_by_worker: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -724,14 +727,13 @@
             late_by = Some(delay);
             self.late_order_at = at;
         }
-        // A worker carries an order out late that has reached it in time.
-        if late_by.is_some() && at.is_some_and(|at| !self.reaches(at)) {
-            return;
-        }
         let delay = late_by.unwrap_or_else(|| NETWORK_DELAY_MS + self.sending_delay());
         if let Some(at) = at {
-            let is_late = late_by.is_some();
-            let delivery = Delivery { born_ms, is_late };
+            let delivery = Delivery {
+                born_ms,
+                is_late: late_by.is_some(),
+                is_held_by_worker: late_by.is_some() && self.reaches(at),
+            };
             self.schedule(delay, Event::Arrive(Box::new(order), at as u64, delivery));
         }
     }
@@ -808,7 +810,7 @@
                 // No leader can prevent that a late order is carried out by a later incarnation
                 // that it has not called yet, so such an order is dropped.
                 if is_intended || !delivery.is_late || worker.has_orders {
-                    self.arrive(&order, at, delivery.is_late);
+                    self.arrive(&order, at, delivery);
                 }
             }
             Event::Inspect(order, at, incarnation) => {
@@ -895,8 +897,8 @@
         self.schedule_input(NETWORK_DELAY_MS, Event::Answer(key, reply));
     }
 
-    fn arrive(&mut self, order: &Order, at: usize, is_late: bool) {
-        let is_received = self.reaches(at) || is_late && self.workers[at].up;
+    fn arrive(&mut self, order: &Order, at: usize, delivery: Delivery) {
+        let is_received = self.reaches(at) || delivery.is_held_by_worker && self.workers[at].up;
         if !is_received {
             return;
         }
@@ -918,7 +920,7 @@
                 ..
             } => {
                 // The leader does not control when a delayed order arrives.
-                let drained = worker.drained_at.filter(|_| !is_late);
+                let drained = worker.drained_at.filter(|_| !delivery.is_late);
                 assert!(
                     drained.is_none_or(|drained| self.now <= drained + DRAIN_GRACE_MS),
                     "{task} starts on {} while it drains",
