--- a/src/store/folder.rs
+++ b/src/store/folder.rs
@@ -68,7 +68,7 @@
         });
     }
     let replica: u64 = rand::random::<u64>().max(1);
-    write_atomically(folder, "replica", format!("{replica:016x}\n").as_bytes())?;
+    write_atomically(folder, "replica", &[format!("{replica:016x}\n").as_bytes()])?;
     Ok(replica)
 }
 
@@ -87,18 +87,20 @@
         .open(path)
 }
 
-/// Replaces a file atomically: writes and syncs a temporary file, renames it into place
-/// and syncs the folder.
+/// Replaces a file atomically by one that consists of `parts`: writes and syncs a temporary file,
+/// renames it into place and syncs the folder.
 ///
 /// # Errors
 ///
 /// Fails if any of these steps fails. The old file is then still in place, unless only
 /// the last step, the sync of the folder, failed.
-pub fn write_atomically(folder: &Path, name: &str, bytes: &[u8]) -> std::io::Result<()> {
+pub fn write_atomically(folder: &Path, name: &str, parts: &[&[u8]]) -> std::io::Result<()> {
     let temporary = folder.join(format!("{name}.tmp"));
     let _ = fs::remove_file(&temporary);
     let mut file = open_private(&temporary)?;
-    let written = file.write_all(bytes).and_then(|()| file.sync_all());
+    let mut parts = parts.iter();
+    let written = parts.try_for_each(|part| file.write_all(part));
+    let written = written.and_then(|()| file.sync_all());
     if let Err(err) = written {
         let _ = fs::remove_file(&temporary);
         return Err(err);
--- a/src/store/wal.rs
+++ b/src/store/wal.rs
@@ -4,6 +4,7 @@
 use std::io::{Seek, SeekFrom, Write};
 
 use bytes::Bytes;
+use prost::encoding::{WireType, encode_key, encode_varint};
 use prost::{Message, Oneof};
 
 use super::folder::{Folder, open_private, write_atomically};
@@ -14,6 +15,8 @@
 
 const LOG_FILE: &str = "log";
 const SNAPSHOT_FILE: &str = "snapshot";
+/// Number of the field `data` of [`SnapshotFile`].
+const SNAPSHOT_DATA_TAG: u32 = 4;
 
 /// One record of the log file.
 #[derive(Clone, PartialEq, Message)]
@@ -192,12 +195,17 @@
             index: snapshot.index,
             term: snapshot.term,
             voters: snapshot.voters.clone(),
-            data: snapshot.data.clone(),
+            data: Bytes::new(),
             generation: self.generation,
         };
-        let mut buf = Vec::new();
-        record::put(&mut buf, &file.encode_to_vec());
-        write_atomically(self.folder.path(), SNAPSHOT_FILE, &buf)
+        // The data is the last field and is written from where it is: a copy would take as much
+        // memory again.
+        let mut start = file.encode_to_vec();
+        encode_key(SNAPSHOT_DATA_TAG, WireType::LengthDelimited, &mut start);
+        encode_varint(snapshot.data.len() as u64, &mut start);
+        let header = record::header(&[&start, &snapshot.data]);
+        let parts = [header.as_slice(), &start, &snapshot.data];
+        write_atomically(self.folder.path(), SNAPSHOT_FILE, &parts)
     }
 
     fn rewrite(&mut self, hard_state: HardState, entries: &[Entry]) -> std::io::Result<()> {
@@ -206,7 +214,7 @@
         for entry in entries {
             put_record(&mut buf, Content::Entry(entry.clone()));
         }
-        write_atomically(self.folder.path(), LOG_FILE, &buf)?;
+        write_atomically(self.folder.path(), LOG_FILE, &[&buf])?;
         self.file = open_private(&self.folder.path().join(LOG_FILE))?;
         self.end = buf.len() as u64;
         self.hard_state = hard_state;
@@ -236,7 +244,7 @@
         Err(err) if err.kind() == std::io::ErrorKind::NotFound => return Ok(Default::default()),
         Err(err) => return Err(err.into()),
     };
-    let file = match record::get(&bytes, 0) {
+    let file = match record::get(&bytes, 0, usize::MAX) {
         Parsed::Record(content, _) => SnapshotFile::decode(content).ok(),
         Parsed::End | Parsed::Damaged => None,
     };
@@ -260,7 +268,7 @@
     let mut records = Vec::new();
     let mut position = 0;
     loop {
-        match record::get(bytes, position) {
+        match record::get(bytes, position, record::LOG_CONTENT_MAX_BYTES) {
             Parsed::Record(content, next) => {
                 let record = Record::decode(content).map_err(|_| position)?;
                 records.extend(record.content);
