Refuse jobs for which there is no room, before they are accepted

Callers saw a control instance of 192 MB with 480 MB of memory and 120 MB of disk after 480 jobs of 250 KB: accepted jobs were limited by their number only, whatever their size.

Each job is charged an upper estimate of the memory that it takes until it ends. The replicated state sums the charges, so that a new leader, and a restarted one, knows what is held; the leader adds what it has proposed. The room is a tenth of the memory and a fifth of the disk of the smallest control instance, which each states in its handshake. A client account may hold as much as is left for all, and a quarter is kept for small jobs, so that one account cannot take what others need. A refusal comes before the job is proposed, and its Retry-After is spread over 2 to 10 s. Ended jobs are charged, too; above 20,000 of them the oldest are removed after five minutes rather than an hour.

--- a/src/cell/control/links.rs
+++ b/src/cell/control/links.rs
@@ -53,9 +53,10 @@
     }
 
     pub(super) fn update_requesters(&mut self) {
-        let requesters = self.requesters();
+        let (requesters, room) = (self.requesters(), self.room());
         if let Some((_, lead)) = &mut self.lead {
             lead.set_requesters(&requesters);
+            lead.set_room(room);
         }
     }
 
--- a/src/cell/control/mod.rs
+++ b/src/cell/control/mod.rs
@@ -29,6 +29,7 @@
 use crate::core::plane::lead::{
     Answer, Call, Effect, Lead, Note, Now, Order, Permission, PermissionRequest, Query, Reply,
 };
+use crate::core::plane::room::{Room, Shortage};
 use crate::core::plane::state::{Command, State};
 use crate::core::registry::InstanceId;
 use crate::core::roster::{self, Constraints, Location};
@@ -147,6 +148,7 @@
         durable: true,
         founders: settings.seeds.clone(),
         replace_after: settings.replace_after,
+        room_bytes: settings.room.bytes as u64,
     };
     let mut state = State::default();
     if !stored.snapshot.data.is_empty() {
@@ -424,6 +426,8 @@
         let metrics = &self.metrics;
         metrics.config_version.set(self.state.config.version as i64);
         metrics.open_jobs.set(self.state.open.len() as i64);
+        let held = self.state.holdings.total().bytes;
+        metrics.job_bytes.set(held as i64);
         let workers = self.state.live_workers().count();
         metrics.workers.set(workers as i64);
         let evacuated = self.state.evacuated.len();
@@ -504,6 +508,7 @@
         let bounds = self.settings.bounds;
         let mut lead = Lead::new(self.now(), term, bounds, &self.state);
         lead.set_requesters(&self.requesters());
+        lead.set_room(self.room());
         lead.set_zone_names(&self.settings.zone_names);
         self.lead = Some((term, lead));
         self.load = Load::starting(self.clock.now());
@@ -527,6 +532,19 @@
         }
     }
 
+    // Returns the room for jobs on the smallest machine of a control instance, as each of them
+    // holds all jobs.
+    fn room(&self) -> Room {
+        let own = self.settings.room;
+        let peers = self.peers.values().filter(|peer| peer.durable);
+        let stated = peers.map(|peer| peer.room_bytes as usize);
+        let smallest = stated.filter(|bytes| *bytes > 0).min();
+        Room {
+            bytes: smallest.map_or(own.bytes, |bytes| bytes.min(own.bytes)),
+            ..own
+        }
+    }
+
     fn requesters(&self) -> Vec<InstanceId> {
         self.links
             .keys()
@@ -634,6 +652,13 @@
                 };
                 Metrics::count(&self.metrics.permission_requests, outcome);
             }
+            Note::NoRoom { shortage, .. } => {
+                let outcome = match shortage {
+                    Shortage::Account => "account",
+                    Shortage::Total => "total",
+                };
+                Metrics::count(&self.metrics.jobs_without_room, outcome);
+            }
             _ => {}
         }
         self.journal.note(note);
--- a/src/cell/entry.rs
+++ b/src/cell/entry.rs
@@ -107,6 +107,7 @@
         durable: false,
         founders: Vec::new(),
         replace_after: settings.replace_after,
+        room_bytes: 0,
     };
     let (events, inbox) = mpsc::channel(INBOX_MESSAGES_MAX);
     let mesh = Mesh::new(
--- a/src/cell/metrics.rs
+++ b/src/cell/metrics.rs
@@ -50,6 +50,10 @@
     pub config_version: Gauge,
     /// Jobs that have not ended.
     pub open_jobs: Gauge,
+    /// Estimated memory of all jobs, in bytes.
+    pub job_bytes: Gauge,
+    /// Jobs refused because accepted ones hold too much, by what is short.
+    pub jobs_without_room: Family<Outcome, Counter>,
     /// Workers whose incarnation has not ended, which may be given work.
     pub workers: Gauge,
     /// Availability zones that are evacuated.
@@ -83,6 +87,8 @@
             is_leader: Gauge::default(),
             config_version: Gauge::default(),
             open_jobs: Gauge::default(),
+            job_bytes: Gauge::default(),
+            jobs_without_room: Family::default(),
             workers: Gauge::default(),
             evacuated_zones: Gauge::default(),
             interfering_pairs: Gauge::default(),
@@ -126,6 +132,12 @@
             m.config_version.clone(),
         );
         registry.register("open_jobs", "Jobs not ended", m.open_jobs.clone());
+        registry.register("job_bytes", "Memory of jobs", m.job_bytes.clone());
+        registry.register(
+            "jobs_without_room",
+            "Jobs refused for lack of room",
+            m.jobs_without_room.clone(),
+        );
         registry.register("workers", "Workers known", m.workers.clone());
         registry.register(
             "evacuated_zones",
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -24,6 +24,7 @@
 use crate::core::plane::lead::{
     Answer, Bounds, Order, Permission, PermissionRequest, Query, Reply,
 };
+use crate::core::plane::room::Room;
 use crate::net::Mesh;
 
 /// Interval of pings on a link: a fifth of the time without traffic after which the link
@@ -63,6 +64,8 @@
     pub bounds: Bounds,
     /// Names of all availability zones of the installation.
     pub zone_names: Vec<String>,
+    /// Room for jobs on the instance's machine.
+    pub room: Room,
 }
 
 /// Client interface to the workers and the permission service.
--- a/src/core/control/mod.rs
+++ b/src/core/control/mod.rs
@@ -66,6 +66,8 @@
     pub durable: bool,
     /// Whether its replica belongs to a root group that was already founded.
     pub founded: bool,
+    /// Room for jobs on its machine, in bytes; 0 if it states none.
+    pub room_bytes: u64,
 }
 
 /// Properties of this instance.
@@ -87,6 +89,8 @@
     pub founders: Vec<String>,
     /// Silence after which a spare replaces a voter.
     pub replace_after: Duration,
+    /// Room for jobs on its machine, in bytes; 0 if it states none.
+    pub room_bytes: u64,
 }
 
 /// Input to the state machine.
--- a/src/core/plane/codec.rs
+++ b/src/core/plane/codec.rs
@@ -40,5 +40,6 @@
         decode(&extended).map_err(|_: postcard::Error| err)
     })?;
     state.update_queues();
+    state.update_holdings();
     Ok(state)
 }
--- a/src/core/plane/job.rs
+++ b/src/core/plane/job.rs
@@ -111,6 +111,15 @@
     pub every_ms: u64,
 }
 
+/// Memory of a job apart from its text and steps, in bytes.
+const JOB_BYTES: usize = 512;
+/// Memory of the specification of a step apart from its texts, in bytes, with its annotation.
+const SPEC_BYTES: usize = 208;
+/// Memory of an occurrence of a step apart from its tasks, in bytes.
+const STEP_BYTES: usize = 80;
+/// Memory of a task with its checkpoint, in bytes.
+const TASK_BYTES: usize = 64;
+
 /// Maximum number of occurrences of a job.
 const OCCURRENCES_MAX: u32 = 10_000;
 /// Maximum number of tasks of a job over all occurrences.
@@ -167,6 +176,29 @@
         Ok(())
     }
 
+    /// Returns an upper estimate of the memory that the job takes until it ends, in bytes, its
+    /// tasks and their checkpoints included. Its encoded form is smaller.
+    pub fn held_bytes(&self, annotations: &[Annotation]) -> usize {
+        let text = |text: &Option<String>| text.as_ref().map_or(0, String::len);
+        let specs = self.steps.iter().map(|step| {
+            let after = step.after.len() * size_of::<u16>();
+            SPEC_BYTES + after + text(&step.label) + text(&step.data_rack)
+        });
+        let records = self
+            .steps
+            .iter()
+            .map(|step| STEP_BYTES + usize::from(step.count) * TASK_BYTES);
+        let images = annotations
+            .iter()
+            .filter_map(|annotation| annotation.image.as_ref());
+        let occurrences = self.repeat.max(1) as usize;
+        JOB_BYTES
+            + self.text.len()
+            + specs.sum::<usize>()
+            + images.map(|image| image.len()).sum::<usize>()
+            + occurrences * records.sum::<usize>()
+    }
+
     /// Returns the due time of an occurrence, in milliseconds since the Unix epoch, or
     /// `None` if the job does not repeat.
     pub const fn due_ms(&self, occurrence: u32) -> Option<u64> {
--- a/src/core/plane/lead/io.rs
+++ b/src/core/plane/lead/io.rs
@@ -7,6 +7,7 @@
 use super::fence::Fence;
 use super::waiting::WaitReason;
 use crate::core::plane::job::{Annotation, Status, Submission};
+use crate::core::plane::room::Shortage;
 use crate::core::plane::state::Command;
 use crate::core::plane::types::{StepName, TaskName, Termination, WorkerKey};
 use crate::core::plane::worker::{Condition, Departure, Report};
@@ -324,6 +325,23 @@
         /// Version of the configuration in effect.
         version: u64,
     },
+    /// A job was refused because accepted jobs hold too much. It has not run and never will.
+    NoRoom {
+        /// Job id.
+        job: String,
+        /// Client account; absent on an open queue without a key.
+        account: Option<String>,
+        /// What is short.
+        shortage: Shortage,
+        /// Estimated memory of all accepted jobs, in bytes.
+        held_bytes: usize,
+        /// Maximum of this.
+        room_bytes: usize,
+        /// Number of accepted jobs that have not ended.
+        open_jobs: usize,
+        /// Time after which the caller should retry, in milliseconds.
+        retry_ms: u64,
+    },
     /// A job was cancelled by its caller.
     JobCancelled {
         /// Job id.
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -47,8 +47,9 @@
 use channel::Traits;
 
 use super::job::Status;
+use super::room::{Amount, Holdings, Room};
 use super::state::{Command, End, Start, State};
-use super::types::{JobId, Resources, StepName, TaskName, Termination, WorkerKey};
+use super::types::{AccountKey, JobId, Resources, StepName, TaskName, Termination, WorkerKey};
 use super::worker::{Condition, Worker};
 use crate::core::registry::InstanceId;
 use crate::core::time::{Moment, with_clock_margin};
@@ -141,7 +142,14 @@
     reservations: HashMap<TaskName, (Resources, Resources, Option<u32>)>,
     /// Jobs whose cancellation is proposed and not yet committed.
     cancelling: HashSet<JobId>,
-    submitting: HashMap<JobId, Vec<Call>>,
+    /// Jobs that are proposed and not yet committed, with account and amount of each proposal.
+    submitting: HashMap<JobId, Vec<(Option<AccountKey>, Amount)>>,
+    /// What these jobs hold.
+    proposed: Holdings,
+    /// Room for all jobs.
+    room: Room,
+    /// Number of jobs refused for lack of room.
+    room_refusals: u64,
     /// All jobs with tasks that are neither done nor on a worker. Others are removed by the
     /// next planning round.
     waiting_jobs: BTreeSet<JobId>,
@@ -202,6 +210,9 @@
             reservations: HashMap::new(),
             cancelling: HashSet::new(),
             submitting: HashMap::new(),
+            proposed: Holdings::default(),
+            room: Room::default(),
+            room_refusals: 0,
             waiting_jobs: state.open.clone(),
             waits: waiting::Waits::default(),
             trial_waits: HashMap::new(),
@@ -281,6 +292,11 @@
         self.permits.set_requesters(requesters);
     }
 
+    /// Sets the room for jobs.
+    pub const fn set_room(&mut self, room: Room) {
+        self.room = room;
+    }
+
     /// Sets the names of the availability zones in the settings.
     pub fn set_zone_names(&mut self, names: &[String]) {
         self.zone_names = names.iter().cloned().collect();
@@ -377,7 +393,7 @@
                 self.departed(state, *worker, by);
             }
             Command::Submit { submission, .. } | Command::SubmitAnnotated { submission, .. } => {
-                self.submitting.remove(&submission.id);
+                self.end_proposal(submission.id);
                 self.waiting_jobs.insert(submission.id);
             }
             Command::Cancel { job, .. } => {
@@ -397,6 +413,19 @@
         std::mem::take(&mut self.effects)
     }
 
+    // Ends one of the proposals of a job, which is committed.
+    fn end_proposal(&mut self, id: JobId) {
+        let Some(proposals) = self.submitting.get_mut(&id) else {
+            return;
+        };
+        if let Some((account, amount)) = proposals.pop() {
+            self.proposed.remove(account, amount);
+        }
+        if proposals.is_empty() {
+            self.submitting.remove(&id);
+        }
+    }
+
     fn progressed(&mut self, now: Now, state: &State, ends: &[End], starts: &[Start]) {
         let mut workers = BTreeSet::new();
         for end in ends {
--- a/src/core/plane/lead/requests.rs
+++ b/src/core/plane/lead/requests.rs
@@ -1,22 +1,26 @@
 //! Queries from callers, workers and operators.
 
+use std::time::Duration;
+
 use super::channel::Shutdown;
 use super::io::{Action, Answer, Call, Effect, Note, Query, Refusal, Request};
 use super::{Lead, Now};
 use crate::core::plane::job::{Annotation, Job, Status, Submission};
 use crate::core::plane::plan::Queue;
+use crate::core::plane::room::{Amount, Shortage};
 use crate::core::plane::state::{Command, State};
-use crate::core::plane::types::{JobId, WorkerKey};
+use crate::core::plane::types::{AccountKey, JobId, WorkerKey};
 use crate::core::plane::worker::{Condition, Departure, Report};
+use crate::core::retry::spread;
 
 /// Time after which a caller should retry while there is no configuration. The operator
 /// sends it again within about a second.
 const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
-/// Maximum number of open jobs; further ones are refused. At about 2 KB a job, the state
-/// stays within a quarter of a control instance's memory.
-const OPEN_JOBS_MAX: usize = 30_000;
-/// Time after which a caller should retry while there are too many open jobs.
-const OVERLOAD_RETRY_MS: u64 = 2_000;
+/// Shortest time after which a caller should retry a job without room. Room comes free as jobs
+/// end.
+const ROOM_RETRY_MIN: Duration = Duration::from_secs(2);
+/// Time over which the retries of jobs without room are spread.
+const ROOM_RETRY_SPREAD: Duration = Duration::from_secs(8);
 
 /// Maximum time by which a worker's time of day is taken to be ahead of the leader's: ten minutes,
 /// as clocks jump by seconds.
@@ -119,15 +123,15 @@
         account: Option<String>,
     ) {
         let id = submission.id;
-        let repeated = state.jobs.contains_key(&id);
-        self.note(Note::JobAccepted {
+        let accepted = Note::JobAccepted {
             job: id.to_string(),
             queue: queue.name.clone(),
             account: account.clone(),
-            repeated: repeated || self.submitting.contains_key(&id),
+            repeated: state.jobs.contains_key(&id) || self.submitting.contains_key(&id),
             version: state.config.version,
-        });
-        if repeated {
+        };
+        if state.jobs.contains_key(&id) {
+            self.note(accepted);
             self.answer(call, Answer::Done);
             return;
         }
@@ -137,16 +141,21 @@
             self.answer(call, Answer::Malformed(err));
             return;
         }
-        if state.open.len() >= OPEN_JOBS_MAX && !self.submitting.contains_key(&id) {
-            let answer = Answer::Unavailable {
-                retry_ms: OVERLOAD_RETRY_MS,
-                why: Refusal::Overloaded,
-            };
-            self.note_refusal(state, id.to_string(), "too many open jobs".into());
-            self.answer(call, answer);
+        let key = account.as_deref().and_then(|name| state.account_key(name));
+        let added = Amount {
+            jobs: 1,
+            bytes: submission.held_bytes(&annotations),
+        };
+        // A repetition of a job that is being accepted must not be refused.
+        if !self.submitting.contains_key(&id)
+            && let Err(shortage) = self.admit(state, key, added.bytes)
+        {
+            self.refuse_for_room(state, call, id, account, shortage);
             return;
         }
-        self.submitting.entry(id).or_default().push(call);
+        self.note(accepted);
+        self.proposed.add(key, added);
+        self.submitting.entry(id).or_default().push((key, added));
         let (submission, queue) = (Box::new(submission), queue.name.clone());
         let command = if annotations.iter().all(Annotation::is_empty) {
             Command::Submit {
@@ -167,6 +176,43 @@
         self.propose(command, vec![(call, Answer::Done)]);
     }
 
+    // Decides whether there is room for a job, beside those that are accepted or proposed.
+    fn admit(
+        &self,
+        state: &State,
+        account: Option<AccountKey>,
+        bytes: usize,
+    ) -> Result<(), Shortage> {
+        let total = state.holdings.total() + self.proposed.total();
+        let own = state.holdings.of(account) + self.proposed.of(account);
+        self.room.admit(total, own, bytes)
+    }
+
+    fn refuse_for_room(
+        &mut self,
+        state: &State,
+        call: Call,
+        id: JobId,
+        account: Option<String>,
+        shortage: Shortage,
+    ) {
+        self.room_refusals += 1;
+        let retry = spread(ROOM_RETRY_MIN, ROOM_RETRY_SPREAD, id.0 ^ self.room_refusals);
+        let retry_ms = retry.as_millis() as u64;
+        let total = state.holdings.total() + self.proposed.total();
+        self.note(Note::NoRoom {
+            job: id.to_string(),
+            account,
+            shortage,
+            held_bytes: total.bytes,
+            room_bytes: self.room.bytes,
+            open_jobs: total.jobs,
+            retry_ms,
+        });
+        let why = Refusal::Overloaded;
+        self.answer(call, Answer::Unavailable { retry_ms, why });
+    }
+
     fn cancel(&mut self, now: Now, state: &State, call: Call, id: JobId) {
         let is_open = self.submitting.contains_key(&id) || state.open.contains(&id);
         if !is_open {
--- /dev/null
+++ b/src/core/plane/room.rs
@@ -0,0 +1,153 @@
+//! Admission of jobs by the memory that accepted ones take.
+//!
+//! The load that it handles: client accounts that submit jobs of any legal size faster than they
+//! end. An accepted job is kept until it ends, on each control instance, so that a job without
+//! room is refused before it is proposed.
+
+use std::collections::BTreeMap;
+
+use derive_more::{Add, AddAssign, Sub, SubAssign};
+use serde::Serialize;
+
+use super::types::AccountKey;
+
+/// Memory of jobs up to which they may use the part of the room that is kept for them, in bytes.
+/// A job of a hundred steps and a text of 4,000 bytes takes less.
+pub const SMALL_JOB_BYTES: usize = 64 << 10;
+/// Divisor of the room that gives the part kept for small jobs.
+const SMALL_PART: usize = 4;
+/// Divisors of a machine's memory and disk that give the room for jobs. In memory there are the
+/// jobs, the latest snapshot and the one being written, on disk two snapshots and the log.
+const MEMORY_PART: usize = 10;
+const DISK_PART: usize = 5;
+/// Smallest room, in bytes. The part for large jobs holds the largest job that is valid, which
+/// takes 14 MB.
+const ROOM_MIN_BYTES: usize = 20_000_000;
+
+/// What jobs hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Add, AddAssign, Sub, SubAssign)]
+pub struct Amount {
+    /// Number of jobs that have not ended.
+    pub jobs: usize,
+    /// Estimated memory, in bytes, records of ended jobs included.
+    pub bytes: usize,
+}
+
+/// What the jobs of each client account hold.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Holdings {
+    total: Amount,
+    /// Jobs of open queues without a key count as those of one account.
+    by_account: BTreeMap<Option<AccountKey>, Amount>,
+}
+
+impl Holdings {
+    /// Adds what a job of the account holds.
+    pub fn add(&mut self, account: Option<AccountKey>, amount: Amount) {
+        self.total += amount;
+        *self.by_account.entry(account).or_default() += amount;
+    }
+
+    /// Removes what was added for a job of the account.
+    pub fn remove(&mut self, account: Option<AccountKey>, amount: Amount) {
+        self.total -= amount;
+        let Some(held) = self.by_account.get_mut(&account) else {
+            return;
+        };
+        *held -= amount;
+        if *held == Amount::default() {
+            self.by_account.remove(&account);
+        }
+    }
+
+    /// Returns what all jobs hold.
+    pub const fn total(&self) -> Amount {
+        self.total
+    }
+
+    /// Returns what the jobs of an account hold.
+    pub fn of(&self, account: Option<AccountKey>) -> Amount {
+        self.by_account.get(&account).copied().unwrap_or_default()
+    }
+}
+
+/// Room for jobs that have not ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Maximum number of jobs.
+    pub jobs: usize,
+    /// Maximum memory, in bytes.
+    pub bytes: usize,
+}
+
+impl Default for Room {
+    /// Returns the room on a machine of 640 MB.
+    fn default() -> Self {
+        Self {
+            jobs: 30_000,
+            bytes: 64_000_000,
+        }
+    }
+}
+
+/// Why a job has no room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Shortage {
+    /// The account holds as much as is left for all accounts together.
+    Account,
+    /// Too little is left for any account.
+    Total,
+}
+
+impl Room {
+    /// Returns the room on a machine with this memory and disk, both in bytes, as far as they
+    /// are limited.
+    pub fn of_machine(memory: Option<usize>, disk: Option<usize>) -> Self {
+        let parts = [
+            memory.map(|bytes| bytes / MEMORY_PART),
+            disk.map(|bytes| bytes / DISK_PART),
+        ];
+        let default = Self::default();
+        let bytes = parts.into_iter().flatten().min();
+        Self {
+            bytes: bytes.unwrap_or(default.bytes).max(ROOM_MIN_BYTES),
+            ..default
+        }
+    }
+
+    /// Decides whether a job of `bytes` bytes is accepted, given what all jobs and those of its
+    /// account hold.
+    ///
+    /// An account may hold as much as was left for all accounts before the job, so that any
+    /// number of accounts that submit without limit leave room for one more. A quarter of the
+    /// room is kept for small jobs.
+    ///
+    /// Source: the dynamic threshold of Choudhury and Hahne, Dynamic Queue Length Thresholds for
+    /// Shared-Memory Packet Switches, with a factor of one.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is short. A job is always accepted if there is no other.
+    pub fn admit(&self, total: Amount, account: Amount, bytes: usize) -> Result<(), Shortage> {
+        if total.bytes == 0 {
+            return Ok(());
+        }
+        let usable_bytes = if bytes > SMALL_JOB_BYTES {
+            self.bytes - self.bytes / SMALL_PART
+        } else {
+            self.bytes
+        };
+        let left = Amount {
+            jobs: self.jobs.saturating_sub(total.jobs),
+            bytes: usable_bytes.saturating_sub(total.bytes),
+        };
+        if left.jobs == 0 || left.bytes < bytes {
+            return Err(Shortage::Total);
+        }
+        if account.jobs >= left.jobs || account.bytes + bytes > left.bytes {
+            return Err(Shortage::Account);
+        }
+        Ok(())
+    }
+}
--- a/src/core/plane/state.rs
+++ b/src/core/plane/state.rs
@@ -6,6 +6,7 @@
 
 use super::job::{Annotation, Job, Phase, Status, Step, Submission, Task};
 use super::plan::{Account, Config, Queue};
+use super::room::{Amount, Holdings};
 use super::types::{
     AccountKey, JobId, QueueKey, Resources, StepName, TaskName, Termination, WorkerKey,
 };
@@ -14,6 +15,13 @@
 /// Time for which an ended job is kept, in milliseconds, so that a repeated submission
 /// finds it. One hour is thirty times the longest status interval promised to callers.
 const RETENTION_MS: u64 = 3_600_000;
+/// Shorter time for which it is kept while there are more than [`ENDED_JOBS_MAX`], in
+/// milliseconds: more than twice the longest status interval.
+const RETENTION_MIN_MS: u64 = 300_000;
+/// Number of ended jobs above which the oldest are removed early.
+const ENDED_JOBS_MAX: usize = 20_000;
+/// Memory of an ended job, in bytes.
+const ENDED_JOB_BYTES: usize = 256;
 
 /// Number of crashed workers from which on a task is a suspect whenever they crashed.
 const SUSPICION_CRASHES_MIN: u32 = 3;
@@ -169,6 +177,9 @@
     /// Annotations of the steps of open jobs that have any. Snapshots of earlier versions end
     /// before them.
     pub annotations: BTreeMap<JobId, Vec<Annotation>>,
+    /// What the jobs hold, derived from them.
+    #[serde(skip)]
+    pub holdings: Holdings,
 }
 
 impl State {
@@ -297,7 +308,7 @@
                 account,
                 at_ms,
             } => {
-                self.submit(*submission, &queue, account.as_deref(), at_ms);
+                self.submit(*submission, Vec::new(), &queue, account.as_deref(), at_ms);
             }
             Command::SubmitAnnotated {
                 submission,
@@ -306,10 +317,7 @@
                 account,
                 at_ms,
             } => {
-                let id = submission.id;
-                if self.submit(*submission, &queue, account.as_deref(), at_ms) {
-                    self.annotations.insert(id, annotations);
-                }
+                self.submit(*submission, annotations, &queue, account.as_deref(), at_ms);
             }
             Command::Cancel { job, at_ms } => self.finish(job, Status::Cancelled, at_ms),
             Command::Progress {
@@ -399,50 +407,94 @@
         }
     }
 
-    // Returns whether the job was added.
     fn submit(
         &mut self,
         submission: Submission,
+        annotations: Vec<Annotation>,
         queue: &str,
         account: Option<&str>,
         at_ms: u64,
-    ) -> bool {
+    ) {
         self.remove_expired(at_ms);
         if self.jobs.contains_key(&submission.id) {
-            return false;
+            return;
         }
         let Some(queue) = self.queues.iter().position(|q| q.name == queue) else {
-            return false;
+            return;
         };
-        let account = account
-            .and_then(|name| self.accounts.iter().position(|a| a.name == name))
-            .map(|at| AccountKey(at as u32));
+        let account = account.and_then(|name| self.account_key(name));
         let id = submission.id;
         let job = Job::new(submission, QueueKey(queue as u32), account, at_ms);
+        if !annotations.is_empty() {
+            self.annotations.insert(id, annotations);
+        }
+        self.holdings.add(account, self.held_by(id, &job));
         self.open.insert(id);
         self.jobs.insert(id, job);
-        true
+    }
+
+    /// Returns the key of a client account.
+    pub fn account_key(&self, name: &str) -> Option<AccountKey> {
+        let at = self.accounts.iter().position(|a| a.name == name)?;
+        Some(AccountKey(at as u32))
+    }
+
+    // Returns what a job holds.
+    fn held_by(&self, id: JobId, job: &Job) -> Amount {
+        if job.status.is_final() {
+            return Amount {
+                jobs: 0,
+                bytes: ENDED_JOB_BYTES,
+            };
+        }
+        let annotations = self.annotations.get(&id).map_or(&[][..], Vec::as_slice);
+        Amount {
+            jobs: 1,
+            bytes: job.submission.held_bytes(annotations),
+        }
+    }
+
+    /// Derives what the jobs hold from the jobs of a decoded state.
+    pub(super) fn update_holdings(&mut self) {
+        let mut holdings = Holdings::default();
+        for (&id, job) in &self.jobs {
+            holdings.add(job.account, self.held_by(id, job));
+        }
+        self.holdings = holdings;
     }
 
     fn remove_expired(&mut self, at_ms: u64) {
         while let Some(&(ended_ms, id)) = self.ended.front() {
-            if ended_ms + RETENTION_MS > at_ms {
+            let retention_ms = if self.ended.len() > ENDED_JOBS_MAX {
+                RETENTION_MIN_MS
+            } else {
+                RETENTION_MS
+            };
+            if ended_ms + retention_ms > at_ms {
                 return;
             }
             self.ended.pop_front();
-            self.jobs.remove(&id);
+            if let Some(job) = self.jobs.remove(&id) {
+                self.holdings.remove(job.account, self.held_by(id, &job));
+            }
         }
     }
 
     fn finish(&mut self, id: JobId, status: Status, at_ms: u64) {
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get(&id).filter(|job| !job.status.is_final()) else {
             return;
         };
-        if job.status.is_final() {
-            return;
+        let (account, held) = (job.account, self.held_by(id, job));
+        self.holdings.remove(account, held);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.status = status;
+            job.trim();
         }
-        job.status = status;
-        job.trim();
+        let ended = Amount {
+            jobs: 0,
+            bytes: ENDED_JOB_BYTES,
+        };
+        self.holdings.add(account, ended);
         self.crashes.retain(|task, _| task.step.job != id);
         self.annotations.remove(&id);
         self.open.remove(&id);
--- a/src/core/retry.rs
+++ b/src/core/retry.rs
@@ -53,3 +53,15 @@
         .min(BACKOFF_MAX);
     limit.mul_f64(rng.random::<f64>())
 }
+
+/// Returns a delay from `min` up to `min + span` that differs between callers who are told at the
+/// same time, given a number that differs between them.
+pub fn spread(min: Duration, span: Duration, number: u64) -> Duration {
+    // The finalizer of SplitMix64 (Steele, Lea and Flood, Fast Splittable Pseudorandom Number
+    // Generators), which maps neighbouring numbers to unrelated ones.
+    let mut hash = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^= hash >> 31;
+    min + span.mul_f64(hash as f64 / u64::MAX as f64)
+}
--- a/src/net/mesh.rs
+++ b/src/net/mesh.rs
@@ -169,6 +169,7 @@
             replica: self.identity.replica,
             durable: self.identity.durable,
             founded: self.founded.load(Ordering::Relaxed),
+            room_bytes: self.identity.room_bytes,
         };
         timeout(
             HANDSHAKE_TIMEOUT,
@@ -233,6 +234,7 @@
         replica: hello.replica,
         durable: hello.durable,
         founded: hello.founded,
+        room_bytes: hello.room_bytes,
     }
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -171,6 +171,7 @@
         durable: wal.is_some(),
         founders: settings.founders.clone(),
         replace_after: settings.replace_after,
+        room_bytes: 0,
     };
     let mesh = Mesh::new(
         identity.clone(),
--- a/src/wire/handshake.rs
+++ b/src/wire/handshake.rs
@@ -50,4 +50,7 @@
     /// Whether the instance has joined a founded root group.
     #[prost(bool, tag = "7")]
     pub founded: bool,
+    /// Room for jobs on the machine of a control instance, in bytes; 0 if it states none.
+    #[prost(uint64, tag = "8")]
+    pub room_bytes: u64,
 }
--- /dev/null
+++ b/tests/room.rs
@@ -0,0 +1,69 @@
+//! Which jobs are accepted beside those that are held.
+
+use plantaincross::core::plane::room::{Amount, Holdings, Room, SMALL_JOB_BYTES, Shortage};
+use plantaincross::core::plane::types::AccountKey;
+
+const ROOM: Room = Room {
+    jobs: 1_000,
+    bytes: 20_000_000,
+};
+const LARGE: usize = 1_000_000;
+const SMALL: usize = 1_000;
+
+// Accepts jobs of `bytes` of an account until one is refused. Returns why.
+fn fill(holdings: &mut Holdings, account: u32, bytes: usize) -> Shortage {
+    let key = Some(AccountKey(account));
+    loop {
+        if let Err(shortage) = ROOM.admit(holdings.total(), holdings.of(key), bytes) {
+            return shortage;
+        }
+        holdings.add(key, Amount { jobs: 1, bytes });
+    }
+}
+
+fn admits(holdings: &Holdings, account: u32, bytes: usize) -> bool {
+    let own = holdings.of(Some(AccountKey(account)));
+    ROOM.admit(holdings.total(), own, bytes).is_ok()
+}
+
+macro_rules! cases {
+    ($($name:ident: $body:expr;)*) => {
+        $(#[test] fn $name() { $body })*
+    };
+}
+
+cases! {
+    a_single_job_is_accepted_whatever_its_size:
+        assert!(admits(&Holdings::default(), 0, 2 * ROOM.bytes));
+    an_account_leaves_as_much_as_it_holds: {
+        let mut held = Holdings::default();
+        assert_eq!(fill(&mut held, 0, LARGE), Shortage::Account);
+        assert!(held.total().bytes <= ROOM.bytes / 2 + LARGE);
+        assert!(admits(&held, 1, LARGE));
+        assert!(admits(&held, 0, SMALL), "a small job of the same account");
+    };
+    small_jobs_of_one_account_leave_places_to_others: {
+        let mut held = Holdings::default();
+        assert_eq!(fill(&mut held, 0, SMALL), Shortage::Account);
+        assert!(admits(&held, 1, SMALL) && admits(&held, 1, LARGE));
+    };
+    ten_accounts_that_take_what_they_can_leave_some_to_another: {
+        let mut held = Holdings::default();
+        (0..10).for_each(|account| { fill(&mut held, account, SMALL_JOB_BYTES + 1); });
+        assert!(held.total().bytes <= ROOM.bytes);
+        assert!(admits(&held, 10, SMALL));
+    };
+    what_is_removed_makes_room: {
+        let mut held = Holdings::default();
+        fill(&mut held, 0, LARGE);
+        held.remove(Some(AccountKey(0)), Amount { jobs: 2, bytes: 2 * LARGE });
+        assert!(admits(&held, 0, LARGE));
+    };
+    room_follows_from_the_machine: {
+        let of = |memory: Option<usize>, disk| Room::of_machine(memory, disk).bytes;
+        assert_eq!(of(Some(640_000_000), Some(320_000_000)), 64_000_000);
+        assert_eq!(of(Some(640_000_000), Some(200_000_000)), 40_000_000);
+        assert_eq!(of(None, None), Room::default().bytes);
+        assert!(of(Some(1_000_000), None) >= 14_000_000, "the largest job");
+    };
+}
--- a/tests/support/cell.rs
+++ b/tests/support/cell.rs
@@ -184,6 +184,7 @@
             durable: instance.durable,
             founders: ["i0", "i1", "i2"].map(str::to_owned).to_vec(),
             replace_after: Duration::from_secs(5),
+            room_bytes: 0,
         };
         let now = instance.clock(self.time);
         let stored = instance.disk.stored.clone();
