Bound the time of a planning round, and give each account a turn in it

Callers saw a control instance that answers nobody: with 21 jobs of 4,000 steps a round took 3.7 s, the leader lost its term again and again, and ordinary jobs got 503 for good.

Causes: the critical path of a job was computed anew for each of its steps, and listing the waiting steps used up the limit on what a round examines, before the first search.

The path is computed once for each occurrence. A round lists up to 30,000 steps and dependencies; more are divided among the client accounts by max-min fairness, and listed in turn. Searches have a budget of their own. While several accounts wait, one uses at most half of it, and one that has had no search for 500 ms gets one beyond the limit, also while the leader is behind. A search keeps its candidates in a heap, with the same result, so that a step of many tasks does not compare all workers for each.

Ruled out: a limit on the steps of a job.

--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -13,6 +13,7 @@
 mod inspect;
 pub mod interference;
 mod io;
+mod listing;
 mod order;
 mod permits;
 mod place;
@@ -153,6 +154,9 @@
     /// All jobs with tasks that are neither done nor on a worker. Others are removed by the
     /// next planning round.
     waiting_jobs: BTreeSet<JobId>,
+    /// Steps to list in the next round.
+    listing: listing::Listing,
+    turns: listing::Turns,
     waits: waiting::Waits,
     /// Time since which suspects of a step have waited for a worker to themselves.
     trial_waits: HashMap<StepName, Moment>,
@@ -214,6 +218,8 @@
             room: Room::default(),
             room_refusals: 0,
             waiting_jobs: state.open.clone(),
+            listing: listing::Listing::default(),
+            turns: listing::Turns::default(),
             waits: waiting::Waits::default(),
             trial_waits: HashMap::new(),
             ends: Vec::new(),
--- a/src/core/plane/lead/place.rs
+++ b/src/core/plane/lead/place.rs
@@ -7,7 +7,8 @@
 //! later work off them.
 
 use std::cell::Cell;
-use std::collections::{BTreeMap, HashMap};
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
 
 use super::interference::Marks;
 use crate::core::plane::types::{Resources, WorkerKey};
@@ -437,28 +438,33 @@
             .collect();
         self.add_examined(allowed.len());
         let mut selection = Selection::default();
+        // The cost of a worker depends on no other, so that only that of the worker just chosen
+        // changes.
+        let candidate = |(at, (_, target, assigned)): (usize, &(WorkerKey, Target, u16))| {
+            let has_place = required.max_per_worker.is_none_or(|max| *assigned < max);
+            (has_place && Self::fits(target, required)).then(|| {
+                Reverse(Candidate {
+                    cost: self.cost(target, required),
+                    at,
+                })
+            })
+        };
+        let mut candidates: BinaryHeap<_> =
+            targets.iter().enumerate().filter_map(candidate).collect();
         while selection.workers.len() < count {
             self.add_examined(targets.len());
-            let best = targets
-                .iter_mut()
-                .filter(|(_, target, assigned)| {
-                    required.max_per_worker.is_none_or(|max| *assigned < max)
-                        && Self::fits(target, required)
-                })
-                .min_by(|a, b| {
-                    self.cost(&a.1, required)
-                        .total_cmp(&self.cost(&b.1, required))
-                });
-            let Some((key, target, assigned)) = best else {
+            let Some(Reverse(Candidate { cost: best, at })) = candidates.pop() else {
                 break;
             };
-            selection.cost += self.cost(target, required);
+            let (key, target, assigned) = &mut targets[at];
+            selection.cost += best;
             selection.cost_without_speed += cost(target, required);
             target.free -= required.resources;
             target.free_non_urgent -= required.resources;
             target.marks.insert(required.marks);
             *assigned += 1;
             selection.workers.push(*key);
+            candidates.extend(candidate((at, &targets[at])));
         }
         selection
     }
@@ -552,6 +558,36 @@
     }
 }
 
+/// Worker that a task may be placed on; the lowest cost comes first, then the first listed.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    cost: f64,
+    /// Position in the list of workers.
+    at: usize,
+}
+
+impl Ord for Candidate {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.cost
+            .total_cmp(&other.cost)
+            .then(self.at.cmp(&other.at))
+    }
+}
+
+impl PartialOrd for Candidate {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Candidate {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Candidate {}
+
 // Returns how many tasks fit in `capacity` if all of it is free.
 fn fit_count_in(capacity: &Resources, required: &Requirement) -> usize {
     let part = |total: i64, each: i64| if each > 0 { total / each } else { i64::MAX };
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::interference::Marks;
+use super::listing::{Budget, Listed, Position, listing_cost};
 use super::order::{Rank, Timing, rank};
 use super::place::{Requirement, Sharing, Target, Targets, goal_multiple, urgency};
 use super::trial::{Search, Trial};
@@ -33,6 +34,8 @@
 /// Number of workers and steps examined after which a round ends and leaves the other steps
 /// to the next. The least urgent steps come last, so that they do not hold up replies.
 const EXAMINED_MAX: u32 = 15_000;
+/// Number of workers that the searches of a round may examine, however many steps wait.
+const SEARCHED_MIN: u32 = 5_000;
 
 /// Capacity reserved for a gang that waits.
 #[derive(Clone, Debug)]
@@ -54,6 +57,7 @@
     reserved_cpu: i64,
     reserved_cpu_max: i64,
     starts: Vec<Start>,
+    budget: Budget,
     /// Eligible workers by service and label.
     eligible: HashMap<(String, Option<String>), Rc<Vec<WorkerKey>>>,
 }
@@ -100,6 +104,23 @@
     pub(super) rank: Rank,
     pub(super) step: StepName,
     pub(super) count: usize,
+    path: Path,
+}
+
+/// Estimated critical path of an occurrence of a job, in milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Path {
+    whole_ms: u64,
+    remaining_ms: u64,
+}
+
+impl Path {
+    fn new(job: &Job, occurrence: usize) -> Self {
+        Self {
+            whole_ms: job.critical_path_ms(occurrence, true),
+            remaining_ms: job.critical_path_ms(occurrence, false),
+        }
+    }
 }
 
 impl Lead {
@@ -115,6 +136,13 @@
         waiting.sort_unstable_by_key(|w| (w.rank, w.step));
         let targets = self.targets(now, state);
         targets.add_examined(waiting.len() + self.channels.len());
+        let account_of = |step: &PendingStep| state.jobs[&step.step.job].account;
+        let first_account = waiting.first().map(account_of);
+        let is_shared = waiting
+            .iter()
+            .any(|step| Some(account_of(step)) != first_account);
+        let listed = targets.examined();
+        let limit = EXAMINED_MAX.max(listed + SEARCHED_MIN);
         let reserved_cpu_max = (targets.total_cpu() as f64 * GANG_RESERVE_SHARE) as i64;
         let mut round = Round {
             targets,
@@ -122,6 +150,7 @@
             reserved_cpu: 0,
             reserved_cpu_max,
             starts: Vec::new(),
+            budget: Budget::new(listed, limit, is_shared),
             eligible: HashMap::new(),
         };
         self.keep_workers_for_trials(state, &waiting, &mut round);
@@ -136,8 +165,12 @@
             }
             group = Some(next);
             let can_wait = step.rank.lateness > 0 || Some(step.rank.priority) > first_priority;
-            let is_deferred = self.is_behind() && can_wait;
-            let known = self.outcome_without_search(now, state, step, &round, is_deferred);
+            let account = account_of(step);
+            let is_due = self.turns.is_due(now.at, account);
+            let is_deferred = self.is_behind() && can_wait && !is_due;
+            let examined = round.targets.examined();
+            let is_allowed = round.budget.allows(account, examined, is_due);
+            let known = self.outcome_without_search(now, state, step, is_deferred, is_allowed);
             if let Some(outcome) = known {
                 if let Some(reserve) = outcome.reserve.as_ref().filter(|_| round.may_reserve()) {
                     round.reserve(reserve);
@@ -145,7 +178,12 @@
                 left.push((step.step, outcome));
                 continue;
             }
+            round.targets.add_examined(1);
             let outcome = self.plan_step(now, state, step, &mut round);
+            self.turns.record(now.at, account);
+            round
+                .budget
+                .spend(account, round.targets.examined() - examined);
             left.extend(outcome.map(|outcome| (step.step, outcome)));
             searched += 1;
         }
@@ -171,47 +209,82 @@
         });
     }
 
-    fn waiting_steps(&self, now: Now, state: &State) -> Vec<PendingStep> {
+    fn waiting_steps(&mut self, now: Now, state: &State) -> Vec<PendingStep> {
         let is_over_share = over_share(state);
         let mut waiting = Vec::new();
-        for id in &self.waiting_jobs {
-            let job = &state.jobs[id];
-            let queue = state.queue(job.queue);
-            let over_share = job.account.is_some_and(|a| is_over_share[a.0 as usize]);
-            for (occurrence, steps) in job.occurrences.iter().enumerate() {
-                let due_ms = job.submission.due_ms(occurrence as u32);
-                if due_ms.is_some_and(|due| due > now.wall_ms) {
-                    break;
+        for listed in self.listing.select(now.wall_ms, state, &self.waiting_jobs) {
+            let account = state.jobs[&listed.job].account;
+            let over_share = account.is_some_and(|a| is_over_share[a.0 as usize]);
+            let stopped_at = self.list_steps(now, state, &listed, over_share, &mut waiting);
+            if let Some(at) = stopped_at {
+                self.listing.stop_at(account, listed.job, at);
+            }
+        }
+        waiting
+    }
+
+    // Lists the waiting steps of a job. Returns the first one that is left to the next round, if
+    // any is.
+    fn list_steps(
+        &self,
+        now: Now,
+        state: &State,
+        listed: &Listed,
+        over_share: bool,
+        waiting: &mut Vec<PendingStep>,
+    ) -> Option<Position> {
+        let job = &state.jobs[&listed.job];
+        let queue = state.queue(job.queue);
+        let (first_occurrence, mut first) = listed.from;
+        let mut left = listed.count;
+        for (occurrence, steps) in job.occurrences.iter().enumerate().skip(first_occurrence) {
+            let due_ms = job.submission.due_ms(occurrence as u32);
+            if due_ms.is_some_and(|due| due > now.wall_ms) {
+                break;
+            }
+            // The steps of an occurrence share its critical path, whose length takes as long to
+            // compute as there are steps.
+            let mut timed = None;
+            for (index, step) in steps.iter().enumerate().skip(first) {
+                if left == 0 {
+                    return Some((occurrence, index));
                 }
-                for (index, step) in steps.iter().enumerate() {
-                    let name = StepName {
-                        job: *id,
-                        occurrence: occurrence as u32,
-                        step: index as u16,
-                    };
-                    let starting = self
-                        .uncommitted_step_starts
-                        .get(&name)
-                        .copied()
-                        .unwrap_or(0);
-                    let count = step.waiting().saturating_sub(usize::from(starting));
-                    if count == 0 || step.aborting || !job.is_unblocked(occurrence, index) {
-                        continue;
-                    }
-                    let rank = if job.submission.steps[index].long_running {
-                        Rank::long_running(due_ms.unwrap_or(job.accepted_ms))
-                    } else {
-                        self.rank(now, job, queue, occurrence, due_ms, over_share)
-                    };
-                    waiting.push(PendingStep {
-                        rank,
-                        step: name,
-                        count,
-                    });
+                let spec = &job.submission.steps[index];
+                left = left.saturating_sub(listing_cost(spec.after.len()));
+                let name = StepName {
+                    job: listed.job,
+                    occurrence: occurrence as u32,
+                    step: index as u16,
+                };
+                let starting = self
+                    .uncommitted_step_starts
+                    .get(&name)
+                    .copied()
+                    .unwrap_or(0);
+                let count = step.waiting().saturating_sub(usize::from(starting));
+                if count == 0 || step.aborting || !job.is_unblocked(occurrence, index) {
+                    continue;
                 }
+                let (rank, path) = if spec.long_running {
+                    let since_ms = due_ms.unwrap_or(job.accepted_ms);
+                    (Rank::long_running(since_ms), Path::default())
+                } else {
+                    *timed.get_or_insert_with(|| {
+                        let path = Path::new(job, occurrence);
+                        let rank = self.rank(now, job, queue, path, due_ms, over_share);
+                        (rank, path)
+                    })
+                };
+                waiting.push(PendingStep {
+                    rank,
+                    step: name,
+                    count,
+                    path,
+                });
             }
+            first = 0;
         }
-        waiting
+        None
     }
 
     fn rank(
@@ -219,15 +292,15 @@
         now: Now,
         job: &Job,
         queue: &Queue,
-        occurrence: usize,
+        path: Path,
         due_ms: Option<u64>,
         over_share: bool,
     ) -> Rank {
         let ratio = self.ratio(&queue.name);
         let timing = Timing {
             since_ms: due_ms.unwrap_or(job.accepted_ms),
-            critical_path_ms: job.critical_path_ms(occurrence, true) as f64 * ratio,
-            remaining_ms: job.critical_path_ms(occurrence, false) as f64 * ratio,
+            critical_path_ms: path.whole_ms as f64 * ratio,
+            remaining_ms: path.remaining_ms as f64 * ratio,
             stretch: queue.stretch,
             goal_ms: queue.goal_ms,
         };
@@ -284,8 +357,8 @@
         now: Now,
         state: &State,
         pending: &PendingStep,
-        round: &Round,
         is_deferred: bool,
+        is_allowed: bool,
     ) -> Option<Outcome> {
         let PendingStep { step, count, .. } = *pending;
         let wait = |reason| Outcome {
@@ -305,7 +378,7 @@
         if is_deferred {
             return Some(wait(WaitReason::LeaderBehind));
         }
-        (round.targets.examined() > EXAMINED_MAX).then(|| wait(WaitReason::RoundLimit))
+        (!is_allowed).then(|| wait(WaitReason::RoundLimit))
     }
 
     // Starts what tasks of a step it can. Returns why the others wait, if any do.
@@ -341,8 +414,8 @@
             Trial::None | Trial::Running => &[],
         };
         let mut required = Requirement {
-            single_zone: self.outlasted_by_lease(job, queue, name),
-            urgency: self.urgency(now, job, queue, name, pending.rank),
+            single_zone: self.outlasted_by_lease(job, queue, pending),
+            urgency: self.urgency(now, job, queue, pending),
             ..self.requirement(spec, queue, !suspects.is_empty())
         };
         self.avoid_interference(state, name, &mut required);
@@ -430,26 +503,27 @@
     // Returns whether a job with independent tasks cannot meet its goal if one of its workers is cut off until the
     // lease expires. The fewer availability zones the tasks of such a job are in, the fewer
     // jobs a cut makes late.
-    fn outlasted_by_lease(&self, job: &Job, queue: &Queue, name: StepName) -> bool {
+    fn outlasted_by_lease(&self, job: &Job, queue: &Queue, pending: &PendingStep) -> bool {
         let is_excluded = |(spec, _): (&StepSpec, &Step)| spec.gang || spec.long_running;
-        if job.step(name).is_some_and(is_excluded) {
+        if job.step(pending.step).is_some_and(is_excluded) {
             return false;
         }
-        let path = job.critical_path_ms(name.occurrence as usize, true) as f64;
-        let path = path * self.ratio(&queue.name);
+        let path = pending.path.whole_ms as f64 * self.ratio(&queue.name);
         let slack = (queue.stretch.max(1.0) - 1.0) * path + queue.goal_ms as f64;
         slack < self.bounds.max_lease.as_millis() as f64
     }
 
     // Returns the urgency of a step; 0.0 if its goal does not depend on a run time, or if the
     // result has become worthless.
-    fn urgency(&self, now: Now, job: &Job, queue: &Queue, name: StepName, rank: Rank) -> f64 {
-        let occurrence = name.occurrence as usize;
+    fn urgency(&self, now: Now, job: &Job, queue: &Queue, pending: &PendingStep) -> f64 {
+        let PendingStep {
+            rank, step: name, ..
+        } = *pending;
         // At the speed of an average worker: the ratio itself falls when the queue runs on fast
         // workers, which would lower the urgency again.
         let ratio = self.average_speed_ratio(&queue.name);
-        let path_ms = job.critical_path_ms(occurrence, true) as f64 * ratio;
-        let remaining_ms = job.critical_path_ms(occurrence, false) as f64 * ratio;
+        let path_ms = pending.path.whole_ms as f64 * ratio;
+        let remaining_ms = pending.path.remaining_ms as f64 * ratio;
         let is_timed = job.step(name).is_some_and(|(spec, _)| !spec.long_running);
         if !is_timed || rank.is_worthless() || remaining_ms < 1.0 {
             return 0.0;
--- a/tests/support/cell.rs
+++ b/tests/support/cell.rs
@@ -798,6 +798,7 @@
 
 pub fn peer_of(instance: &Instance) -> Peer {
     Peer {
+        room_bytes: 0,
         id: instance.id,
         name: instance.name.clone(),
         zone: instance.zone.clone(),
