Bound what the kernel holds unread for each connection

Callers saw an entry instance of 64 MB with 75 MB in use: clients that send bodies and then requests without reading a response leave up to 160 KB unread on each connection, and a machine counts bytes that have arrived. The kernel enlarges the receive buffer of a connection that was read fast, and no limit was set.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -35,7 +35,7 @@
 pub use pool::{Connection, Pool};
 pub use proxy::Proxy;
 
-use crate::ingress::{Budget, Connections, Limits, READ_BUFFER_BYTES, Refusal};
+use crate::ingress::{Budget, Connections, Limits, READ_BUFFER_BYTES, Refusal, set_receive_buffer};
 use crate::node::Node;
 
 /// Pause after `accept` failed, such as for lack of file descriptors.
@@ -57,6 +57,9 @@
 /// Serves until `close` is cancelled, then finishes running requests and returns.
 pub async fn serve(listener: TcpListener, node: Node, close: CancellationToken) {
     let limits = Limits::DEFAULT;
+    if let Err(err) = set_receive_buffer(&listener, node.settings.receive_buffer_bytes) {
+        log::warn!("cannot bound the receive buffers of connections: {err}");
+    }
     let connections = Connections::new(connections_max(node.settings.connections), limits);
     let budget = node.budget.clone();
     let proxy = Arc::new(Proxy::new(node.clone()));
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -21,6 +21,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use snafu::Snafu;
+use socket2::SockRef;
+use tokio::net::TcpListener;
 use tokio::time::{Instant, timeout};
 
 pub use connections::{Connection, Connections, Limits, Reply, Stream, UnderWay};
@@ -52,6 +54,16 @@
 /// Shortest time between two log lines about refusals.
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Bounds the bytes that the kernel holds unread for each connection that `listener` accepts. It
+/// holds up to twice `bytes`, and less if that is the limit of the system.
+///
+/// # Errors
+///
+/// Fails if the kernel refuses the option.
+pub fn set_receive_buffer(listener: &TcpListener, bytes: usize) -> std::io::Result<()> {
+    SockRef::from(listener).set_recv_buffer_size(bytes)
+}
+
 /// Reason why the body of a request was not received.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum Failure {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -18,6 +18,12 @@
 /// bodies of the longest permitted length, 4 MiB.
 const RECEIVE_BUDGET_BYTES: usize = 32 << 20;
 
+/// Default receive buffer of a connection, in bytes. The kernel holds up to twice as much unread,
+/// 32 MB for 1,024 connections.
+const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+/// Receive buffers that can be set, in bytes.
+const RECEIVE_BUFFER_RANGE: std::ops::RangeInclusive<usize> = 4 << 10..=1 << 20;
+
 /// Settings of one instance.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -51,6 +57,8 @@
     pub connections: usize,
     /// Budget for bytes received from callers and not yet answered.
     pub receive_budget_bytes: usize,
+    /// Receive buffer of each connection from callers, in bytes.
+    pub receive_buffer_bytes: usize,
 }
 
 impl Settings {
@@ -72,6 +80,7 @@
             log: None,
             connections: 1_024,
             receive_budget_bytes: RECEIVE_BUDGET_BYTES,
+            receive_buffer_bytes: RECEIVE_BUFFER_BYTES,
         }
     }
 
@@ -132,6 +141,13 @@
                     .filter(|&bytes| bytes >= BUDGET_MIN_BYTES)
                     .ok_or_else(|| format!("`{value}` is below 8MB"))?;
             }
+            ("instance", "receive-buffer") => {
+                let bytes = parse_size(value)?;
+                self.receive_buffer_bytes = usize::try_from(bytes)
+                    .ok()
+                    .filter(|bytes| RECEIVE_BUFFER_RANGE.contains(bytes))
+                    .ok_or_else(|| format!("`{value}` is not from 4KB to 1MB"))?;
+            }
             ("cell", "seeds") => {
                 self.seeds = list();
                 for seed in &self.seeds {
