At the connection limit, let busy and stalled connections make room

Callers got no response while 440 clients sent requests without end and read no response: each of them always has a request under way, so that none counted as waiting, and new connections were closed unread for half a minute.

At the limit a response closes its connection, so that clients that always have a further request do not keep their place. If no connection waits for a request, a new one replaces the one whose client has not read its response for longest, from 3 s on.

Ruled out by a trial: replacing stalled connections alone, as these clients are served all the time rather than stalled.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use axum::Router;
+use axum::http::{HeaderValue, header};
 use axum::routing::{any, get, post};
 use hyper::server::conn::http1;
 use hyper::service::{Service, service_fn};
@@ -99,10 +100,19 @@
         let stream = TokioIo::new(connection.stream(stream));
         let handler = TowerToHyperService::new(app.clone());
         let requests = Arc::clone(&connection);
+        let all = connections.clone();
         let service = service_fn(move |request| {
             let under_way = requests.begin();
             let response = handler.call(request);
-            async move { Ok::<_, Infallible>(response.await?.map(|body| under_way.until_sent(body))) }
+            let all = all.clone();
+            async move {
+                let mut response = response.await?;
+                if all.is_full() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
+                Ok::<_, Infallible>(response.map(|body| under_way.until_sent(body)))
+            }
         });
         let served = graceful.watch(builder.serve_connection(stream, service));
         tokio::spawn(async move {
--- a/src/ingress/connections.rs
+++ b/src/ingress/connections.rs
@@ -25,6 +25,8 @@
     /// Time without progress after which a connection is closed whose client does not read its
     /// response. Clients that read slowly get theirs.
     pub write: Duration,
+    /// The same for a connection that makes room for another.
+    pub stall: Duration,
 }
 
 impl Limits {
@@ -34,6 +36,7 @@
         head: Duration::from_secs(3),
         idle: Duration::from_secs(15),
         write: Duration::from_secs(15),
+        stall: Duration::from_secs(3),
     };
 }
 
@@ -42,8 +45,8 @@
 struct State {
     /// Requests whose response body is not yet taken over by the HTTP library.
     under_way: usize,
-    /// Whether a write waits for the client.
-    is_writing: bool,
+    /// Time since which a write has waited for the client.
+    writing_since: Option<Instant>,
     /// Time of the connection's start or of its latest response.
     idle_since: Instant,
     /// Time of the first byte of a head that is not complete.
@@ -52,7 +55,7 @@
 
 impl State {
     const fn is_waiting(&self) -> bool {
-        self.under_way == 0 && !self.is_writing
+        self.under_way == 0 && self.writing_since.is_none()
     }
 
     fn read_deadline(&self, limits: &Limits) -> Option<Instant> {
@@ -67,11 +70,19 @@
         }
     }
 
-    const fn set_writing(&mut self, is_writing: bool, now: Instant) {
-        if self.is_writing && !is_writing {
+    fn set_writing(&mut self, is_writing: bool, now: Instant) {
+        if !is_writing && self.writing_since.take().is_some() {
             self.idle_since = now;
         }
-        self.is_writing = is_writing;
+        if is_writing {
+            self.writing_since.get_or_insert(now);
+        }
+    }
+
+    // Returns whether the client has not read its response for long.
+    fn is_stalled(&self, limits: &Limits, now: Instant) -> bool {
+        let waited = self.writing_since.map(|since| now.duration_since(since));
+        waited.is_some_and(|waited| waited >= limits.stall)
     }
 }
 
@@ -111,8 +122,15 @@
         lock(&self.open).by_id.len()
     }
 
+    /// Returns whether the limit is reached. Connections are then closed after their response, as
+    /// clients that always have a further request would otherwise keep all others out.
+    pub fn is_full(&self) -> bool {
+        self.count() >= self.max
+    }
+
     /// Adds a connection. At the limit it evicts the one that has waited longest without a
-    /// request under way; the flag tells whether it did. Returns `None` if all have one.
+    /// request under way, or else the one whose client has not read its response for longest, if
+    /// that is long; the flag tells whether it did. Returns `None` if there is neither.
     pub fn add(&self, now: Instant) -> Option<(Connection, bool)> {
         let mut open = lock(&self.open);
         let is_full = open.by_id.len() >= self.max;
@@ -121,7 +139,13 @@
                 let state = lock(state);
                 state.is_waiting().then_some((state.idle_since, *id))
             });
-            let (_, longest) = waiting.min()?;
+            let stalled = open.by_id.iter().filter_map(|(id, (state, _))| {
+                let state = lock(state);
+                let is_stalled = state.is_stalled(&self.limits, now);
+                is_stalled.then_some((state.writing_since, *id))
+            });
+            let longest = waiting.min().map(|(_, id)| id);
+            let longest = longest.or_else(|| stalled.min().map(|(_, id)| id))?;
             let (_, token) = open.by_id.remove(&longest)?;
             token.cancel();
         }
@@ -132,7 +156,7 @@
             open: Arc::clone(&self.open),
             state: Arc::new(Mutex::new(State {
                 under_way: 0,
-                is_writing: false,
+                writing_since: None,
                 idle_since: now,
                 head_since: None,
             })),
