Refuse jobs of the product for which there is no room

Callers saw an instance with 218 MB after 1,600 jobs of 20,000 tasks each, 426 MB after a restart, from bodies of 100 bytes: the registry took any number of open jobs, and the zone leader keeps the state of each task.

The root leader decides as the leader of the task plane does: each job is charged for its texts and tasks, what is open and proposed is counted from the registry, and the room is the smallest `instance job-memory` (24 MB) of the instances with a disk. `src/core/room.rs` serves both. A refusal is `overloaded`, counted and logged, with a Retry-After spread over 2 to 10 s.

--- a/src/cell/control/mod.rs
+++ b/src/cell/control/mod.rs
@@ -29,9 +29,9 @@
 use crate::core::plane::lead::{
     Answer, Call, Effect, Lead, Note, Now, Order, Permission, PermissionRequest, Query, Reply,
 };
-use crate::core::plane::room::{Room, Shortage};
 use crate::core::plane::state::{Command, State};
 use crate::core::registry::InstanceId;
+use crate::core::room::{Room, Shortage};
 use crate::core::roster::{self, Constraints, Location};
 use crate::core::time::Moment;
 use crate::error::Result;
@@ -532,17 +532,12 @@
         }
     }
 
-    // Returns the room for jobs on the smallest machine of a control instance, as each of them
-    // holds all jobs.
+    // Returns the room for jobs on the smallest machine of a control instance.
     fn room(&self) -> Room {
-        let own = self.settings.room;
         let peers = self.peers.values().filter(|peer| peer.durable);
-        let stated = peers.map(|peer| peer.room_bytes as usize);
-        let smallest = stated.filter(|bytes| *bytes > 0).min();
-        Room {
-            bytes: smallest.map_or(own.bytes, |bytes| bytes.min(own.bytes)),
-            ..own
-        }
+        self.settings
+            .room
+            .smallest(peers.map(|peer| peer.room_bytes))
     }
 
     fn requesters(&self) -> Vec<InstanceId> {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -24,7 +24,7 @@
 use crate::core::plane::lead::{
     Answer, Bounds, Order, Permission, PermissionRequest, Query, Reply,
 };
-use crate::core::plane::room::Room;
+use crate::core::room::Room;
 use crate::net::Mesh;
 
 /// Interval of pings on a link: a fifth of the time without traffic after which the link
--- a/src/core/control/mod.rs
+++ b/src/core/control/mod.rs
@@ -27,6 +27,7 @@
 use crate::core::job::{Ended, Task};
 use crate::core::lease::{Grants, Participant};
 use crate::core::registry::{Command, InstanceId, Member, Outcome, Registry};
+use crate::core::room::{Amount, Holdings};
 use crate::core::time::Moment;
 use crate::error::{Error, Kind};
 use crate::event::Event;
@@ -178,6 +179,10 @@
     full_report_at: Moment,
     next_report_at: Moment,
     proposals: BTreeMap<u64, (u64, Option<Origin>, Option<String>)>,
+    /// Jobs that are proposed and not yet in the registry, with team and amount of each.
+    job_proposals: BTreeMap<u64, (String, Amount)>,
+    /// What these jobs hold.
+    proposed_jobs: Holdings<String>,
     calls: BTreeMap<u64, Pending>,
     next_call: u64,
     next_ping_at: Moment,
@@ -235,6 +240,8 @@
             full_report_at: Moment::ZERO,
             next_report_at: now,
             proposals: BTreeMap::new(),
+            job_proposals: BTreeMap::new(),
+            proposed_jobs: Holdings::default(),
             calls: BTreeMap::new(),
             next_call: seed,
             next_ping_at: now,
@@ -463,6 +470,7 @@
         if let Ok(command) = &decoded {
             self.record_command(command, &outcome);
         }
+        self.end_job_proposal(index);
         if let Some((proposal_term, origin, appointed_zone)) = self.proposals.remove(&index) {
             if let Some(zone) = appointed_zone {
                 self.lease_grants.end_appointment(&zone);
--- a/src/core/control/query.rs
+++ b/src/core/control/query.rs
@@ -200,7 +200,10 @@
 
     pub(super) fn handle(&mut self, now: Moment, origin: Origin, query: Query) {
         match query {
-            Query::Propose(command) => self.propose(now, origin, &command, None),
+            Query::Propose(Command::Submit(job)) => self.submit(now, origin, job),
+            Query::Propose(command) => {
+                self.propose(now, origin, &command, None);
+            }
             Query::Announce(heartbeat) => {
                 let answer = self.handle_heartbeat(now, &heartbeat);
                 self.answer(now, origin, answer);
@@ -256,19 +259,21 @@
         }
     }
 
+    /// Proposes a command. Returns its index in the log, unless it is refused.
     pub(super) fn propose(
         &mut self,
         now: Moment,
         origin: Origin,
         command: &Command,
         appointed_zone: Option<String>,
-    ) {
+    ) -> Option<u64> {
         let body = postcard::to_allocvec(command).expect("command encodes");
         match self.replica.propose(body.into()) {
             Ok(index) => {
                 let term = self.replica.term();
                 let origin = (origin != super::root::NO_REPLY).then_some(origin);
                 self.proposals.insert(index, (term, origin, appointed_zone));
+                Some(index)
             }
             Err(err) => {
                 if let Some(zone) = appointed_zone {
@@ -276,6 +281,7 @@
                 }
                 let err = Error::new(Kind::NoQuorum, err.to_string());
                 self.answer(now, origin, Answer::Failed(err));
+                None
             }
         }
     }
--- a/src/core/control/root.rs
+++ b/src/core/control/root.rs
@@ -9,6 +9,7 @@
 use super::{Answer, Control, Effect, Origin, Query, Target};
 use crate::core::lease::LEASE_DURATION;
 use crate::core::registry::{Command, InstanceId, Member, Transfer};
+use crate::core::room::Holdings;
 use crate::core::share::{UnitClaimant, targets};
 use crate::core::time::{Moment, with_clock_margin};
 use crate::error::{Error, Kind};
@@ -74,6 +75,8 @@
         self.lease_grants.clear();
         self.demands.clear();
         if term.is_none() {
+            self.job_proposals.clear();
+            self.proposed_jobs = Holdings::default();
             let proposals = std::mem::take(&mut self.proposals);
             for (_, origin, _) in proposals.into_values() {
                 let err = Error::new(Kind::NoQuorum, "the root leader changed");
--- a/src/core/control/tasks.rs
+++ b/src/core/control/tasks.rs
@@ -8,8 +8,9 @@
 use super::root::NO_REPLY;
 use super::{Answer, Control, Effect, Origin, Pending, Query, Target};
 use crate::core::fleet::{Fleet, POLL_WAIT_MAX, Poll};
-use crate::core::job::{Ended, Id, Spec, State};
+use crate::core::job::{Ended, Id, Job, Spec, State};
 use crate::core::registry::Command;
+use crate::core::room::{Amount, Room, Shortage};
 use crate::core::time::Moment;
 use crate::error::{Error, Kind};
 use crate::event::Event;
@@ -222,6 +223,48 @@
         }
     }
 
+    /// Proposes a job, unless accepted ones leave no room for it.
+    pub(super) fn submit(&mut self, now: Moment, origin: Origin, job: Box<Job>) {
+        let (total, own) = self.registry.jobs.held(&job.team);
+        let proposed = &self.proposed_jobs;
+        let (total, own) = (total + proposed.total(), own + proposed.of(&job.team));
+        let bytes = job.held_bytes();
+        // The answer to a repeated submission is that of the first one.
+        let is_repeated = self.registry.jobs.is_submitted(&job.team, &job.request);
+        let admitted = self.room().admit(total, own, bytes);
+        if let Err(shortage) = admitted
+            && !is_repeated
+        {
+            let message = match shortage {
+                Shortage::Account => "the open jobs of the team leave no room for this one",
+                Shortage::Total => "the open jobs leave no room for this one",
+            };
+            let err = Error::new(Kind::Overloaded, message);
+            self.answer(now, origin, Answer::Failed(err));
+            return;
+        }
+        let added = Amount { jobs: 1, bytes };
+        let team = job.team.clone();
+        if let Some(index) = self.propose(now, origin, &Command::Submit(job), None) {
+            self.proposed_jobs.add(team.clone(), added);
+            self.job_proposals.insert(index, (team, added));
+        }
+    }
+
+    // Returns the room for jobs on the smallest machine that keeps the registry.
+    fn room(&self) -> Room {
+        let peers = self.peers.values().filter(|state| state.peer.durable);
+        let stated = peers.map(|state| state.peer.room_bytes);
+        Room::default().smallest(stated.chain([self.identity.room_bytes]))
+    }
+
+    /// Ends the proposal of a job at this index of the log, if there is one.
+    pub(super) fn end_job_proposal(&mut self, index: u64) {
+        if let Some((team, amount)) = self.job_proposals.remove(&index) {
+            self.proposed_jobs.remove(&team, amount);
+        }
+    }
+
     pub(super) fn job(&self, id: Id) -> Answer {
         match self.registry.jobs.get(id) {
             Some(job) => Answer::Job(Box::new(job.clone())),
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -7,10 +7,15 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::registry::Outcome;
+use crate::core::room::Amount;
 use crate::error::{Error, Kind};
 
 /// Maximum number of ended jobs that are kept.
 const ENDED_JOBS_MAX: usize = 5_000;
+/// Memory of a job apart from its texts and tasks, in bytes.
+const JOB_BYTES: usize = 2 << 10;
+/// Memory of a task, in bytes, also while a new leader waits for the leases of the former one.
+const TASK_BYTES: usize = 16;
 /// Maximum number of tasks in one job.
 pub const TASKS_PER_JOB_MAX: u32 = 20_000;
 
@@ -225,6 +230,13 @@
             .map(move |index| Task { job, index })
     }
 
+    /// Returns an upper estimate of the memory that the job takes until it ends, in bytes, at the
+    /// leader of its zone.
+    pub fn held_bytes(&self) -> usize {
+        let text = self.request.len() + self.spec.name.len() + self.spec.queue.len();
+        JOB_BYTES + text + self.spec.tasks as usize * TASK_BYTES
+    }
+
     fn mark_ended(&mut self, index: u32) {
         let word = index as usize / 64;
         if self.ended.len() <= word {
@@ -279,6 +291,25 @@
         self.jobs.values().filter(|job| job.state == State::Open)
     }
 
+    /// Returns what the open jobs of all teams and those of one team hold.
+    pub fn held(&self, team: &str) -> (Amount, Amount) {
+        let (mut total, mut own) = (Amount::default(), Amount::default());
+        for job in self.open() {
+            let bytes = job.held_bytes();
+            total += Amount { jobs: 1, bytes };
+            if job.team == team {
+                own += Amount { jobs: 1, bytes };
+            }
+        }
+        (total, own)
+    }
+
+    /// Returns whether a job was submitted with this idempotency key and is kept.
+    pub fn is_submitted(&self, team: &str, request: &str) -> bool {
+        let key = (team.to_owned(), request.to_owned());
+        !request.is_empty() && self.requests.contains_key(&key)
+    }
+
     /// Registers a job, or returns the earlier submission with the same idempotency
     /// key. Fails if that one had a different specification.
     pub fn submit(&mut self, job: &Job) -> Outcome {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -19,5 +19,6 @@
 
 pub mod registry;
 pub mod retry;
+pub mod room;
 pub mod share;
 pub mod time;
--- a/src/core/plane/lead/io.rs
+++ b/src/core/plane/lead/io.rs
@@ -7,11 +7,11 @@
 use super::fence::Fence;
 use super::waiting::WaitReason;
 use crate::core::plane::job::{Annotation, Status, Submission};
-use crate::core::plane::room::Shortage;
 use crate::core::plane::state::Command;
 use crate::core::plane::types::{StepName, TaskName, Termination, WorkerKey};
 use crate::core::plane::worker::{Condition, Departure, Report};
 use crate::core::registry::InstanceId;
+use crate::core::room::Shortage;
 use crate::core::time::Moment;
 
 /// Number of a query from a caller, worker or operator. The answer carries the same
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -48,11 +48,11 @@
 use channel::Traits;
 
 use super::job::Status;
-use super::room::{Amount, Holdings, Room};
 use super::state::{Command, End, Start, State};
 use super::types::{AccountKey, JobId, Resources, StepName, TaskName, Termination, WorkerKey};
 use super::worker::{Condition, Worker};
 use crate::core::registry::InstanceId;
+use crate::core::room::{Amount, Holdings, Room};
 use crate::core::time::{Moment, with_clock_margin};
 
 /// Limits that an installation sets.
@@ -146,7 +146,7 @@
     /// Jobs that are proposed and not yet committed, with account and amount of each proposal.
     submitting: HashMap<JobId, Vec<(Option<AccountKey>, Amount)>>,
     /// What these jobs hold.
-    proposed: Holdings,
+    proposed: Holdings<Option<AccountKey>>,
     /// Room for all jobs.
     room: Room,
     /// Number of jobs refused for lack of room.
@@ -425,7 +425,7 @@
             return;
         };
         if let Some((account, amount)) = proposals.pop() {
-            self.proposed.remove(account, amount);
+            self.proposed.remove(&account, amount);
         }
         if proposals.is_empty() {
             self.submitting.remove(&id);
--- a/src/core/plane/lead/requests.rs
+++ b/src/core/plane/lead/requests.rs
@@ -1,26 +1,19 @@
 //! Queries from callers, workers and operators.
 
-use std::time::Duration;
-
 use super::channel::Shutdown;
 use super::io::{Action, Answer, Call, Effect, Note, Query, Refusal, Request};
 use super::{Lead, Now};
 use crate::core::plane::job::{Annotation, Job, Status, Submission};
 use crate::core::plane::plan::Queue;
-use crate::core::plane::room::{Amount, Shortage};
 use crate::core::plane::state::{Command, State};
 use crate::core::plane::types::{AccountKey, JobId, WorkerKey};
 use crate::core::plane::worker::{Condition, Departure, Report};
 use crate::core::retry::spread;
+use crate::core::room::{Amount, ROOM_RETRY_MIN, ROOM_RETRY_SPREAD, Shortage};
 
 /// Time after which a caller should retry while there is no configuration. The operator
 /// sends it again within about a second.
 const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
-/// Shortest time after which a caller should retry a job without room. Room comes free as jobs
-/// end.
-const ROOM_RETRY_MIN: Duration = Duration::from_secs(2);
-/// Time over which the retries of jobs without room are spread.
-const ROOM_RETRY_SPREAD: Duration = Duration::from_secs(8);
 
 /// Maximum time by which a worker's time of day is taken to be ahead of the leader's: ten minutes,
 /// as clocks jump by seconds.
@@ -184,7 +177,7 @@
         bytes: usize,
     ) -> Result<(), Shortage> {
         let total = state.holdings.total() + self.proposed.total();
-        let own = state.holdings.of(account) + self.proposed.of(account);
+        let own = state.holdings.of(&account) + self.proposed.of(&account);
         self.room.admit(total, own, bytes)
     }
 
--- a/src/core/plane/mod.rs
+++ b/src/core/plane/mod.rs
@@ -8,7 +8,6 @@
 pub mod job;
 pub mod lead;
 pub mod plan;
-pub mod room;
 pub mod state;
 pub mod types;
 pub mod worker;
--- a/src/core/plane/state.rs
+++ b/src/core/plane/state.rs
@@ -6,11 +6,11 @@
 
 use super::job::{Annotation, Job, Phase, Status, Step, Submission, Task};
 use super::plan::{Account, Config, Queue};
-use super::room::{Amount, Holdings};
 use super::types::{
     AccountKey, JobId, QueueKey, Resources, StepName, TaskName, Termination, WorkerKey,
 };
 use super::worker::{Report, Run, Worker};
+use crate::core::room::{Amount, Holdings};
 
 /// Time for which an ended job is kept, in milliseconds, so that a repeated submission
 /// finds it. One hour is thirty times the longest status interval promised to callers.
@@ -179,7 +179,7 @@
     pub annotations: BTreeMap<JobId, Vec<Annotation>>,
     /// What the jobs hold, derived from them.
     #[serde(skip)]
-    pub holdings: Holdings,
+    pub holdings: Holdings<Option<AccountKey>>,
 }
 
 impl State {
@@ -475,7 +475,7 @@
             }
             self.ended.pop_front();
             if let Some(job) = self.jobs.remove(&id) {
-                self.holdings.remove(job.account, self.held_by(id, &job));
+                self.holdings.remove(&job.account, self.held_by(id, &job));
             }
         }
     }
@@ -485,7 +485,7 @@
             return;
         };
         let (account, held) = (job.account, self.held_by(id, job));
-        self.holdings.remove(account, held);
+        self.holdings.remove(&account, held);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.status = status;
             job.trim();
--- a/src/core/plane/room.rs
+++ b/src/core/room.rs
@@ -1,16 +1,15 @@
 //! Admission of jobs by the memory that accepted ones take.
 //!
 //! The load that it handles: client accounts that submit jobs of any legal size faster than they
-//! end. An accepted job is kept until it ends, on each control instance, so that a job without
+//! end. An accepted job is kept until it ends, on each instance that keeps the state, so that a job without
 //! room is refused before it is proposed.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use derive_more::{Add, AddAssign, Sub, SubAssign};
 use serde::Serialize;
 
-use super::types::AccountKey;
-
 /// Memory of jobs up to which they may use the part of the room that is kept for them, in bytes.
 /// A job of a hundred steps and a text of 4,000 bytes takes less.
 pub const SMALL_JOB_BYTES: usize = 64 << 10;
@@ -24,6 +23,12 @@
 /// takes 14 MB.
 const ROOM_MIN_BYTES: usize = 20_000_000;
 
+/// Shortest time after which a caller should retry a job without room. Room comes free as jobs
+/// end.
+pub const ROOM_RETRY_MIN: Duration = Duration::from_secs(2);
+/// Time over which the retries of jobs without room are spread.
+pub const ROOM_RETRY_SPREAD: Duration = Duration::from_secs(8);
+
 /// What jobs hold.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Add, AddAssign, Sub, SubAssign)]
 pub struct Amount {
@@ -34,29 +39,37 @@
 }
 
 /// What the jobs of each client account hold.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Holdings {
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holdings<K> {
     total: Amount,
-    /// Jobs of open queues without a key count as those of one account.
-    by_account: BTreeMap<Option<AccountKey>, Amount>,
+    by_account: BTreeMap<K, Amount>,
+}
+
+impl<K> Default for Holdings<K> {
+    fn default() -> Self {
+        Self {
+            total: Amount::default(),
+            by_account: BTreeMap::new(),
+        }
+    }
 }
 
-impl Holdings {
+impl<K: Ord> Holdings<K> {
     /// Adds what a job of the account holds.
-    pub fn add(&mut self, account: Option<AccountKey>, amount: Amount) {
+    pub fn add(&mut self, account: K, amount: Amount) {
         self.total += amount;
         *self.by_account.entry(account).or_default() += amount;
     }
 
     /// Removes what was added for a job of the account.
-    pub fn remove(&mut self, account: Option<AccountKey>, amount: Amount) {
+    pub fn remove(&mut self, account: &K, amount: Amount) {
         self.total -= amount;
-        let Some(held) = self.by_account.get_mut(&account) else {
+        let Some(held) = self.by_account.get_mut(account) else {
             return;
         };
         *held -= amount;
         if *held == Amount::default() {
-            self.by_account.remove(&account);
+            self.by_account.remove(account);
         }
     }
 
@@ -66,8 +79,8 @@
     }
 
     /// Returns what the jobs of an account hold.
-    pub fn of(&self, account: Option<AccountKey>) -> Amount {
-        self.by_account.get(&account).copied().unwrap_or_default()
+    pub fn of(&self, account: &K) -> Amount {
+        self.by_account.get(account).copied().unwrap_or_default()
     }
 }
 
@@ -101,6 +114,17 @@
 }
 
 impl Room {
+    /// Returns this room, lowered to the smallest one that `others` state; 0 states
+    /// none. Each instance that keeps the state holds all jobs.
+    pub fn smallest(self, others: impl Iterator<Item = u64>) -> Self {
+        let stated = others.filter(|bytes| *bytes > 0).min();
+        let stated = stated.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+        Self {
+            bytes: stated.map_or(self.bytes, |bytes| bytes.min(self.bytes)),
+            ..self
+        }
+    }
+
     /// Returns the room on a machine with this memory and disk, both in bytes, as far as they
     /// are limited.
     pub fn of_machine(memory: Option<usize>, disk: Option<usize>) -> Self {
--- a/src/http/jobs.rs
+++ b/src/http/jobs.rs
@@ -5,17 +5,20 @@
 use axum::response::{IntoResponse, Response};
 use serde::{Deserialize, Serialize};
 
-use super::App;
 use super::body::Text;
 use super::headers::{bearer, id as request_id};
 use super::operators::is_operator;
 use super::platform::parse;
 use super::reply::{ErrorResponse, json};
+use super::{App, report};
 use crate::core::control::{Answer, JobSummary, Query, Target};
 use crate::core::fleet::Explanation;
 use crate::core::job::{Id, Job, Spec, State as JobState, TASKS_PER_JOB_MAX};
 use crate::core::registry::{Command, Outcome};
+use crate::core::retry::spread;
+use crate::core::room::{ROOM_RETRY_MIN, ROOM_RETRY_SPREAD};
 use crate::error::{Error, Kind, Result};
+use crate::ingress::Refusal;
 
 /// Response to an accepted job.
 #[derive(Debug, Serialize, Deserialize)]
@@ -52,7 +55,19 @@
 
 /// Accepts a job.
 pub async fn submit(State(app): State<App>, headers: HeaderMap, body: Text) -> Response {
-    respond(accept(&app, &headers, &body).await)
+    match accept(&app, &headers, &body).await {
+        Err(err) if err.kind == Kind::Overloaded => {
+            app.node.budget.record(Refusal::Jobs);
+            report(&app.node.budget, Refusal::Jobs);
+            let retry_after = spread(ROOM_RETRY_MIN, ROOM_RETRY_SPREAD, rand::random());
+            let response = ErrorResponse {
+                retry_after: Some(retry_after),
+                ..err.into()
+            };
+            response.into_response()
+        }
+        accepted => respond(accepted),
+    }
 }
 
 async fn accept(app: &App, headers: &HeaderMap, body: &str) -> Result<Submitted> {
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -96,6 +96,8 @@
     Timeout,
     /// The connection limit was reached.
     Connections,
+    /// Accepted jobs leave no room.
+    Jobs,
 }
 
 impl Refusal {
@@ -105,6 +107,7 @@
             Self::Budget => "budget",
             Self::Timeout => "timeout",
             Self::Connections => "connections",
+            Self::Jobs => "jobs",
         }
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -171,7 +171,7 @@
         durable: wal.is_some(),
         founders: settings.founders.clone(),
         replace_after: settings.replace_after,
-        room_bytes: 0,
+        room_bytes: settings.job_memory_bytes as u64,
     };
     let mesh = Mesh::new(
         identity.clone(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -18,6 +18,12 @@
 /// bodies of the longest permitted length, 4 MiB.
 const RECEIVE_BUDGET_BYTES: usize = 32 << 20;
 
+/// Default memory for accepted jobs, in bytes: a fifth of a machine of 120 MB. It holds a million
+/// tasks.
+const JOB_MEMORY_BYTES: usize = 24 << 20;
+/// Smallest memory for accepted jobs that can be set, in bytes. Its part for large jobs holds two
+/// jobs of the largest number of tasks.
+const JOB_MEMORY_MIN_BYTES: usize = 1 << 20;
 /// Default receive buffer of a connection, in bytes. The kernel holds up to twice as much unread,
 /// 32 MB for 1,024 connections.
 const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
@@ -57,6 +63,8 @@
     pub connections: usize,
     /// Budget for bytes received from callers and not yet answered.
     pub receive_budget_bytes: usize,
+    /// Memory that accepted jobs may take, in bytes.
+    pub job_memory_bytes: usize,
     /// Receive buffer of each connection from callers, in bytes.
     pub receive_buffer_bytes: usize,
 }
@@ -80,6 +88,7 @@
             log: None,
             connections: 1_024,
             receive_budget_bytes: RECEIVE_BUDGET_BYTES,
+            job_memory_bytes: JOB_MEMORY_BYTES,
             receive_buffer_bytes: RECEIVE_BUFFER_BYTES,
         }
     }
@@ -141,6 +150,13 @@
                     .filter(|&bytes| bytes >= BUDGET_MIN_BYTES)
                     .ok_or_else(|| format!("`{value}` is below 8MB"))?;
             }
+            ("instance", "job-memory") => {
+                let bytes = parse_size(value)?;
+                self.job_memory_bytes = usize::try_from(bytes)
+                    .ok()
+                    .filter(|&bytes| bytes >= JOB_MEMORY_MIN_BYTES)
+                    .ok_or_else(|| format!("`{value}` is below 1MB"))?;
+            }
             ("instance", "receive-buffer") => {
                 let bytes = parse_size(value)?;
                 self.receive_buffer_bytes = usize::try_from(bytes)
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -14,7 +14,12 @@
 const BUFFER_BYTES: usize = 64;
 
 const fn limits(head: Duration, idle: Duration, write: Duration) -> Limits {
-    Limits { head, idle, write }
+    Limits {
+        head,
+        idle,
+        write,
+        stall: write,
+    }
 }
 
 // A client that does not read its response kept it in memory without a time limit.
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -1,7 +1,6 @@
 //! Which jobs are accepted beside those that are held.
 
-use plantaincross::core::plane::room::{Amount, Holdings, Room, SMALL_JOB_BYTES, Shortage};
-use plantaincross::core::plane::types::AccountKey;
+use plantaincross::core::room::{Amount, Holdings, Room, SMALL_JOB_BYTES, Shortage};
 
 const ROOM: Room = Room {
     jobs: 1_000,
@@ -11,18 +10,17 @@
 const SMALL: usize = 1_000;
 
 // Accepts jobs of `bytes` of an account until one is refused. Returns why.
-fn fill(holdings: &mut Holdings, account: u32, bytes: usize) -> Shortage {
-    let key = Some(AccountKey(account));
+fn fill(holdings: &mut Holdings<u32>, account: u32, bytes: usize) -> Shortage {
     loop {
-        if let Err(shortage) = ROOM.admit(holdings.total(), holdings.of(key), bytes) {
+        if let Err(shortage) = ROOM.admit(holdings.total(), holdings.of(&account), bytes) {
             return shortage;
         }
-        holdings.add(key, Amount { jobs: 1, bytes });
+        holdings.add(account, Amount { jobs: 1, bytes });
     }
 }
 
-fn admits(holdings: &Holdings, account: u32, bytes: usize) -> bool {
-    let own = holdings.of(Some(AccountKey(account)));
+fn admits(holdings: &Holdings<u32>, account: u32, bytes: usize) -> bool {
+    let own = holdings.of(&account);
     ROOM.admit(holdings.total(), own, bytes).is_ok()
 }
 
@@ -56,7 +54,7 @@
     what_is_removed_makes_room: {
         let mut held = Holdings::default();
         fill(&mut held, 0, LARGE);
-        held.remove(Some(AccountKey(0)), Amount { jobs: 2, bytes: 2 * LARGE });
+        held.remove(&0, Amount { jobs: 2, bytes: 2 * LARGE });
         assert!(admits(&held, 0, LARGE));
     };
     room_follows_from_the_machine: {
