Spread the retries of requests that are refused for lack of memory

Clients that were refused together were all told to come back after one second, and came back together. The delay is now spread over 1 to 4 s.

--- a/src/http/reply.rs
+++ b/src/http/reply.rs
@@ -1,10 +1,13 @@
 //! JSON responses that the instance itself makes.
 
+use std::time::Duration;
+
 use axum::body::Body;
 use axum::http::{HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use serde::Serialize;
 
+use crate::core::retry::spread;
 use crate::error::{Error, Kind, Run};
 
 /// Header that carries the id of a request.
@@ -30,7 +33,7 @@
     pub run: Option<Run>,
     /// Retry delay, if known more precisely than the default of the kind; ignored for kinds
     /// without one.
-    pub retry_after: Option<std::time::Duration>,
+    pub retry_after: Option<Duration>,
 }
 
 impl ErrorResponse {
@@ -64,10 +67,10 @@
             StatusCode::from_u16(defaults.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let mut response = json(status, &body);
         let headers = response.headers_mut();
-        if let Some(wait) = defaults
-            .retry_after
-            .map(|default| self.retry_after.unwrap_or(default))
-        {
+        if let Some(wait) = defaults.retry_after.map(|default| {
+            self.retry_after
+                .unwrap_or_else(|| spread_delay(self.error.kind, default))
+        }) {
             let secs = wait.as_secs_f64().ceil() as u64;
             headers.insert(header::RETRY_AFTER, HeaderValue::from(secs.max(1)));
         }
@@ -80,6 +83,16 @@
     }
 }
 
+// Returns the retry delay of a kind of error. Clients that are refused together for lack of memory
+// must not come back together.
+fn spread_delay(kind: Kind, default: Duration) -> Duration {
+    const SPREAD: Duration = Duration::from_secs(3);
+    match kind {
+        Kind::OverBudget => spread(default, SPREAD, rand::random()),
+        _ => default,
+    }
+}
+
 /// Returns a JSON response.
 pub fn json(status: StatusCode, body: &impl Serialize) -> Response {
     let mut bytes = serde_json::to_vec(body).expect("answer encodes");
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -25,6 +25,8 @@
 use tokio::net::TcpListener;
 use tokio::time::{Instant, timeout};
 
+use crate::core::retry::spread;
+
 pub use connections::{Connection, Connections, Limits, Reply, Stream, UnderWay};
 
 /// Read buffer of a connection, in bytes. It bounds heads and the empty lines before them. A
@@ -40,9 +42,11 @@
 pub const SMALL_DECODED_BYTES: usize = 4 * SMALL_BODY_BYTES;
 /// Smallest budget, in bytes. The part for large bodies holds one body of 4 MiB.
 pub const BUDGET_MIN_BYTES: usize = 8 << 20;
-/// Retry delay given with a refusal for lack of budget. Stalled bodies time out after a few
-/// seconds, others make room sooner.
-pub const RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Shortest retry delay given with a refusal for lack of budget. Stalled bodies time out after a
+/// few seconds, others make room sooner.
+const RETRY_DELAY_MIN: Duration = Duration::from_secs(1);
+/// Time over which retries after such refusals are spread.
+const RETRY_DELAY_SPREAD: Duration = Duration::from_secs(3);
 
 /// Divisor of the budget that gives the part kept for small bodies.
 const SMALL_PART: usize = 4;
@@ -126,6 +130,7 @@
     held_gauge: Gauge,
     refusals: Family<Labels, Counter>,
     refusals_since_line: AtomicU64,
+    delays_given: AtomicU64,
     last_line: Mutex<Option<Instant>>,
 }
 
@@ -143,6 +148,7 @@
             held_gauge: Gauge::default(),
             refusals: Family::default(),
             refusals_since_line: AtomicU64::new(0),
+            delays_given: AtomicU64::new(0),
             last_line: Mutex::default(),
         }))
     }
@@ -169,6 +175,27 @@
         }
     }
 
+    /// Returns the retry delay of the next refusal for lack of budget. Delays differ, so that
+    /// clients that are refused together do not come back together.
+    pub fn retry_delay(&self) -> Duration {
+        let number = self.0.delays_given.fetch_add(1, Ordering::Relaxed);
+        spread(RETRY_DELAY_MIN, RETRY_DELAY_SPREAD, number)
+    }
+
+    /// Charges `bytes` for a response before it is made.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Failure::OverBudget`].
+    pub fn reserve(&self, bytes: usize) -> Result<Charge, Failure> {
+        let mut charge = self.charge(true);
+        let reserved = charge.grow_to(bytes);
+        if reserved.is_err() {
+            self.record(Refusal::Budget);
+        }
+        reserved.map(|()| charge)
+    }
+
     /// Counts a refusal.
     pub fn record(&self, refusal: Refusal) {
         let reason = refusal.name();
