Charge responses that hold a configuration until they are sent

Callers saw a control instance of 192 MB with 296 MB: 150 clients read a configuration of 1.9 MB and did not read the responses. Each response is a copy of the document, and was bounded by the number of connections only.

A read of the configuration is charged for the largest document before it is made, for its length until it is sent, and refused over budget.

--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -318,6 +318,29 @@
     pub const fn held_bytes(&self) -> usize {
         self.held_bytes
     }
+
+    /// Keeps the charge, reduced to the length of `bytes`, until they are sent or dropped.
+    pub fn until_sent(mut self, bytes: Vec<u8>) -> Bytes {
+        let excess = self.held_bytes.saturating_sub(bytes.len());
+        self.budget.release(excess);
+        self.held_bytes -= excess;
+        Bytes::from_owner(Charged {
+            bytes,
+            _charge: self,
+        })
+    }
+}
+
+/// Bytes of a response with their charge.
+struct Charged {
+    bytes: Vec<u8>,
+    _charge: Charge,
+}
+
+impl AsRef<[u8]> for Charged {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 impl Drop for Charge {
