Never refuse the repetition of a job that is being accepted

By reading: a submission with the idempotency key of a job that is proposed, or that a former leader proposed and this one has not applied, could be refused for lack of room as `not_run` while the first one was accepted. Repetitions of proposed jobs are now proposed, too, and get the answer of the first; a leader that has not applied all committed entries answers `no_quorum`.

--- a/src/core/control/mod.rs
+++ b/src/core/control/mod.rs
@@ -27,7 +27,7 @@
 use crate::core::job::{Ended, Task};
 use crate::core::lease::{Grants, Participant};
 use crate::core::registry::{Command, InstanceId, Member, Outcome, Registry};
-use crate::core::room::{Amount, Holdings};
+use crate::core::room::Holdings;
 use crate::core::time::Moment;
 use crate::error::{Error, Kind};
 use crate::event::Event;
@@ -179,8 +179,8 @@
     full_report_at: Moment,
     next_report_at: Moment,
     proposals: BTreeMap<u64, (u64, Option<Origin>, Option<String>)>,
-    /// Jobs that are proposed and not yet in the registry, with team and amount of each.
-    job_proposals: BTreeMap<u64, (String, Amount)>,
+    /// Jobs that are proposed and not yet in the registry, by index in the log.
+    job_proposals: BTreeMap<u64, tasks::Proposal>,
     /// What these jobs hold.
     proposed_jobs: Holdings<String>,
     calls: BTreeMap<u64, Pending>,
--- a/src/core/control/tasks.rs
+++ b/src/core/control/tasks.rs
@@ -42,6 +42,15 @@
     pub ended: u32,
 }
 
+/// Job that is proposed and not yet in the registry.
+#[derive(Debug)]
+pub(super) struct Proposal {
+    team: String,
+    /// Idempotency key, or empty.
+    request: String,
+    amount: Amount,
+}
+
 impl Control {
     pub(super) fn tick_tasks(&mut self, now: Moment) {
         if !self.participant.may_act(now) || self.fleet.is_none() {
@@ -229,12 +238,18 @@
         let proposed = &self.proposed_jobs;
         let (total, own) = (total + proposed.total(), own + proposed.of(&job.team));
         let bytes = job.held_bytes();
-        // The answer to a repeated submission is that of the first one.
-        let is_repeated = self.registry.jobs.is_submitted(&job.team, &job.request);
         let admitted = self.room().admit(total, own, bytes);
         if let Err(shortage) = admitted
-            && !is_repeated
+            && !self.is_repeated(&job)
         {
+            // A new leader may not know yet that the job was accepted before.
+            let is_current =
+                self.replica.holds_lease(now) && self.registry.applied >= self.replica.commit();
+            if !is_current {
+                let err = Error::new(Kind::NoQuorum, "the root leader has just changed");
+                self.answer(now, origin, Answer::Failed(err));
+                return;
+            }
             let message = match shortage {
                 Shortage::Account => "the open jobs of the team leave no room for this one",
                 Shortage::Total => "the open jobs leave no room for this one",
@@ -243,14 +258,27 @@
             self.answer(now, origin, Answer::Failed(err));
             return;
         }
-        let added = Amount { jobs: 1, bytes };
-        let team = job.team.clone();
+        let proposal = Proposal {
+            team: job.team.clone(),
+            request: job.request.clone(),
+            amount: Amount { jobs: 1, bytes },
+        };
         if let Some(index) = self.propose(now, origin, &Command::Submit(job), None) {
-            self.proposed_jobs.add(team.clone(), added);
-            self.job_proposals.insert(index, (team, added));
+            self.proposed_jobs
+                .add(proposal.team.clone(), proposal.amount);
+            self.job_proposals.insert(index, proposal);
         }
     }
 
+    // Returns whether a job was submitted before with its idempotency key. The answer is that of
+    // the first submission then.
+    fn is_repeated(&self, job: &Job) -> bool {
+        let is_same =
+            |proposal: &Proposal| proposal.team == job.team && proposal.request == job.request;
+        let is_proposed = !job.request.is_empty() && self.job_proposals.values().any(is_same);
+        is_proposed || self.registry.jobs.is_submitted(&job.team, &job.request)
+    }
+
     // Returns the room for jobs on the smallest machine that keeps the registry.
     fn room(&self) -> Room {
         let peers = self.peers.values().filter(|state| state.peer.durable);
@@ -260,8 +288,8 @@
 
     /// Ends the proposal of a job at this index of the log, if there is one.
     pub(super) fn end_job_proposal(&mut self, index: u64) {
-        if let Some((team, amount)) = self.job_proposals.remove(&index) {
-            self.proposed_jobs.remove(&team, amount);
+        if let Some(proposal) = self.job_proposals.remove(&index) {
+            self.proposed_jobs.remove(&proposal.team, proposal.amount);
         }
     }
 
