Bound long responses that clients do not read

By reading: each connection could hold a response of up to a service's `answer-limit`, and responses that are ready are not refused.

Parts of responses of more than 16 KiB count until they are sent. While they take as much as the budget for requests, further requests of the product's callers and operators are refused before they run, and connections are closed whose clients made no progress for 3 s or have not read a response within 30 s.

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use axum::body::Body;
-use axum::extract::{FromRequest, Request};
+use axum::extract::{FromRequest, Request, State};
 use axum::http::{HeaderValue, header};
+use axum::middleware::Next;
 use axum::response::{IntoResponse, Response};
 use derive_more::Deref;
 use hyper::body::Body as _;
@@ -91,6 +92,29 @@
     Ok(received?)
 }
 
+/// Refuses a request while clients do not read the responses of others.
+///
+/// # Errors
+///
+/// Fails with [`Kind::OverBudget`].
+pub fn check_responses(budget: &Budget) -> Result<(), Error> {
+    if !budget.has_unsent_responses() {
+        return Ok(());
+    }
+    budget.record(Refusal::Responses);
+    report(budget, Refusal::Responses);
+    let message = "the memory for responses is in use";
+    Err(Error::new(Kind::OverBudget, message))
+}
+
+/// Applies [`check_responses`] to a route.
+pub async fn limit_responses(State(app): State<App>, request: Request, next: Next) -> Response {
+    match check_responses(&app.node.budget) {
+        Ok(()) => next.run(request).await,
+        Err(err) => refuse(err.into()),
+    }
+}
+
 /// Closes the connection after a refusal, as the rest of the body is not read.
 pub fn refuse(error: ErrorResponse) -> Response {
     let close = matches!(error.error.kind, Kind::OverBudget | Kind::SlowRequest);
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::App;
-use super::body::{read, refuse as refuse_body};
+use super::body::{check_responses, read, refuse as refuse_body};
 use super::headers::{bearer, id as request_id, parse_options};
 use super::proxy::{FullResponse, Incoming, is_hop_header};
 use super::reply::{ErrorResponse, REQUEST_ID, json};
@@ -115,6 +115,7 @@
     let options = parse_options(&head.method, &head.headers, &settings).map_err(refuse)?;
     let deadline = received_at + options.deadline;
     let id = options.id.clone().unwrap_or_else(|| generated.to_owned());
+    check_responses(&app.node.budget).map_err(|error| ErrorResponse::new(error, &id))?;
     let limit = usize::try_from(settings.body_limit).unwrap_or(usize::MAX);
     let Received { bytes, charge } = read(body, limit, &app.node.budget)
         .await
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -17,6 +17,7 @@
 
 use axum::Router;
 use axum::http::{HeaderValue, header};
+use axum::middleware::from_fn_with_state;
 use axum::routing::{any, get, post};
 use hyper::server::conn::http1;
 use hyper::service::{Service, service_fn};
@@ -100,18 +101,21 @@
         let stream = TokioIo::new(connection.stream(stream));
         let handler = TowerToHyperService::new(app.clone());
         let requests = Arc::clone(&connection);
-        let all = connections.clone();
+        let (all, budget) = (connections.clone(), budget.clone());
         let service = service_fn(move |request| {
             let under_way = requests.begin();
+            if budget.has_unsent_responses() {
+                all.evict_slow_readers(Instant::now());
+            }
             let response = handler.call(request);
-            let all = all.clone();
+            let (all, budget) = (all.clone(), budget.clone());
             async move {
                 let mut response = response.await?;
                 if all.is_full() {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
-                Ok::<_, Infallible>(response.map(|body| under_way.until_sent(body)))
+                Ok::<_, Infallible>(response.map(|body| under_way.until_sent(body, &budget)))
             }
         });
         let served = graceful.watch(builder.serve_connection(stream, service));
@@ -154,8 +158,6 @@
 
 fn router(app: App) -> Router {
     let control = Router::new()
-        .route("/v1/upstreams", post(platform::heartbeat))
-        .route("/v1/workers/poll", post(platform::poll))
         .route("/v1/jobs", get(jobs::list).post(jobs::submit))
         .route("/v1/jobs/{id}", get(jobs::show).delete(jobs::cancel))
         .route("/v1/jobs/{id}/explain", get(jobs::explain))
@@ -164,7 +166,8 @@
         .route("/v1/keys/{id}", axum::routing::delete(operators::withdraw))
         .route("/v1/zones/{zone}/replace", post(operators::replace))
         .route("/v1/status", get(operators::status))
-        .route("/v1/events", get(operators::events));
+        .route("/v1/events", get(operators::events))
+        .route_layer(from_fn_with_state(app.clone(), body::limit_responses));
     Router::new()
         .route("/v1/services/{service}", any(callers::request_root))
         .route("/v1/services/{service}/{*path}", any(callers::request))
@@ -172,6 +175,8 @@
         .route("/healthz", get(|| async { "ok\n" }))
         .route("/readyz", get(operators::ready))
         .route("/metrics", get(operators::metrics))
+        .route("/v1/upstreams", post(platform::heartbeat))
+        .route("/v1/workers/poll", post(platform::poll))
         .merge(control)
         .fallback(callers::not_found)
         .with_state(app)
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -102,6 +102,8 @@
     Connections,
     /// Accepted jobs leave no room.
     Jobs,
+    /// Responses that are not read take too much.
+    Responses,
 }
 
 impl Refusal {
@@ -112,6 +114,7 @@
             Self::Timeout => "timeout",
             Self::Connections => "connections",
             Self::Jobs => "jobs",
+            Self::Responses => "responses",
         }
     }
 }
@@ -125,9 +128,12 @@
 struct Shared {
     total_bytes: usize,
     held_bytes: AtomicUsize,
+    /// Bytes of long responses that are not sent.
+    unsent_bytes: AtomicUsize,
     /// Whether a request is served whose decoded form did not fit.
     overdrawn: AtomicBool,
     held_gauge: Gauge,
+    unsent_gauge: Gauge,
     refusals: Family<Labels, Counter>,
     refusals_since_line: AtomicU64,
     delays_given: AtomicU64,
@@ -144,8 +150,10 @@
         Self(Arc::new(Shared {
             total_bytes: total_bytes.max(BUDGET_MIN_BYTES),
             held_bytes: AtomicUsize::new(0),
+            unsent_bytes: AtomicUsize::new(0),
             overdrawn: AtomicBool::new(false),
             held_gauge: Gauge::default(),
+            unsent_gauge: Gauge::default(),
             refusals: Family::default(),
             refusals_since_line: AtomicU64::new(0),
             delays_given: AtomicU64::new(0),
@@ -196,6 +204,23 @@
         reserved.map(|()| charge)
     }
 
+    /// Returns whether responses that clients do not read take as much as requests may. Further
+    /// requests are then refused before they run.
+    pub fn has_unsent_responses(&self) -> bool {
+        self.0.unsent_bytes.load(Ordering::Relaxed) >= self.0.total_bytes
+    }
+
+    // Responses that are ready are delivered, also above the limit.
+    fn add_unsent(&self, bytes: usize) {
+        self.0.unsent_bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.0.unsent_gauge.inc_by(bytes as i64);
+    }
+
+    fn remove_unsent(&self, bytes: usize) {
+        self.0.unsent_bytes.fetch_sub(bytes, Ordering::Relaxed);
+        self.0.unsent_gauge.dec_by(bytes as i64);
+    }
+
     /// Counts a refusal.
     pub fn record(&self, refusal: Refusal) {
         let reason = refusal.name();
@@ -226,6 +251,11 @@
             "Bytes received from clients and not yet answered, decoded bodies included",
             self.0.held_gauge.clone(),
         );
+        registry.register(
+            "unsent_bytes",
+            "Bytes of long responses that clients have not read",
+            self.0.unsent_gauge.clone(),
+        );
     }
 
     fn add(&self, bytes: usize, is_large: bool) -> Result<(), Failure> {
@@ -318,29 +348,6 @@
     pub const fn held_bytes(&self) -> usize {
         self.held_bytes
     }
-
-    /// Keeps the charge, reduced to the length of `bytes`, until they are sent or dropped.
-    pub fn until_sent(mut self, bytes: Vec<u8>) -> Bytes {
-        let excess = self.held_bytes.saturating_sub(bytes.len());
-        self.budget.release(excess);
-        self.held_bytes -= excess;
-        Bytes::from_owner(Charged {
-            bytes,
-            _charge: self,
-        })
-    }
-}
-
-/// Bytes of a response with their charge.
-struct Charged {
-    bytes: Vec<u8>,
-    _charge: Charge,
-}
-
-impl AsRef<[u8]> for Charged {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
 }
 
 impl Drop for Charge {
--- a/src/ingress/connections.rs
+++ b/src/ingress/connections.rs
@@ -10,11 +10,14 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, Sleep, sleep};
 use tokio_util::sync::CancellationToken;
 
+use super::{Budget, SMALL_BODY_BYTES};
+
 /// Time limits of a connection.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -27,6 +30,8 @@
     pub write: Duration,
     /// The same for a connection that makes room for another.
     pub stall: Duration,
+    /// Time within which long responses must be read while they take too much memory.
+    pub response: Duration,
 }
 
 impl Limits {
@@ -37,6 +42,7 @@
         idle: Duration::from_secs(15),
         write: Duration::from_secs(15),
         stall: Duration::from_secs(3),
+        response: Duration::from_secs(30),
     };
 }
 
@@ -51,6 +57,9 @@
     idle_since: Instant,
     /// Time of the first byte of a head that is not complete.
     head_since: Option<Instant>,
+    /// Bytes of long responses that are not sent, and time since which there are any.
+    unsent_bytes: usize,
+    unsent_since: Option<Instant>,
 }
 
 impl State {
@@ -128,6 +137,23 @@
         self.count() >= self.max
     }
 
+    /// Evicts the connections whose clients do not read long responses: those without progress
+    /// for long, and those that take too long.
+    pub fn evict_slow_readers(&self, now: Instant) {
+        let mut open = lock(&self.open);
+        open.by_id.retain(|_, (state, token)| {
+            let state = lock(state);
+            let sending = state.unsent_since.map(|since| now.duration_since(since));
+            let is_slow = sending.is_some_and(|time| time >= self.limits.response);
+            let is_evicted =
+                state.unsent_bytes > 0 && (is_slow || state.is_stalled(&self.limits, now));
+            if is_evicted {
+                token.cancel();
+            }
+            !is_evicted
+        });
+    }
+
     /// Adds a connection. At the limit it evicts the one that has waited longest without a
     /// request under way, or else the one whose client has not read its response for longest, if
     /// that is long; the flag tells whether it did. Returns `None` if there is neither.
@@ -159,6 +185,8 @@
                 writing_since: None,
                 idle_since: now,
                 head_since: None,
+                unsent_bytes: 0,
+                unsent_since: None,
             })),
             evicted: CancellationToken::new(),
         };
@@ -215,11 +243,13 @@
 pub struct UnderWay(Shared);
 
 impl UnderWay {
-    /// Keeps the request under way until the body is sent or dropped.
-    pub const fn until_sent<B>(self, body: B) -> Reply<B> {
+    /// Keeps the request under way until the HTTP library has taken over the body, and counts
+    /// long parts of it in `budget` until they are sent.
+    pub fn until_sent<B>(self, body: B, budget: &Budget) -> Reply<B> {
         Reply {
             body,
-            _under_way: self,
+            under_way: self,
+            budget: budget.clone(),
         }
     }
 }
@@ -236,18 +266,66 @@
 #[derive(Debug)]
 pub struct Reply<B> {
     body: B,
-    _under_way: UnderWay,
+    under_way: UnderWay,
+    budget: Budget,
+}
+
+/// Part of a response that is not sent.
+struct Unsent {
+    bytes: Bytes,
+    state: Shared,
+    budget: Budget,
+}
+
+impl Unsent {
+    fn new(bytes: Bytes, state: &Shared, budget: &Budget) -> Self {
+        let mut connection = lock(state);
+        connection.unsent_bytes += bytes.len();
+        connection.unsent_since.get_or_insert_with(Instant::now);
+        drop(connection);
+        budget.add_unsent(bytes.len());
+        Self {
+            bytes,
+            state: Arc::clone(state),
+            budget: budget.clone(),
+        }
+    }
 }
 
-impl<B: Body + Unpin> Body for Reply<B> {
-    type Data = B::Data;
+impl AsRef<[u8]> for Unsent {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for Unsent {
+    fn drop(&mut self) {
+        let mut state = lock(&self.state);
+        state.unsent_bytes -= self.bytes.len();
+        if state.unsent_bytes == 0 {
+            state.unsent_since = None;
+        }
+        drop(state);
+        self.budget.remove_unsent(self.bytes.len());
+    }
+}
+
+impl<B: Body<Data = Bytes> + Unpin> Body for Reply<B> {
+    type Data = Bytes;
     type Error = B::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        let hold = |bytes: Bytes| {
+            if bytes.len() <= SMALL_BODY_BYTES {
+                return bytes;
+            }
+            Bytes::from_owner(Unsent::new(bytes, &self.under_way.0, &self.budget))
+        };
+        Poll::Ready(frame.map(|frame| frame.map(|frame| frame.map_data(hold))))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/tests/accepted_jobs.rs
+++ b/tests/accepted_jobs.rs
@@ -5,6 +5,8 @@
 mod crowd;
 #[path = "support/memory.rs"]
 mod memory;
+#[path = "support/pipeline.rs"]
+mod pipeline;
 mod support;
 
 use std::net::Ipv4Addr;
@@ -100,6 +102,35 @@
     );
 }
 
+// Responses that nobody reads: a list of a thousand jobs takes 200 KB.
+#[test]
+fn lists_of_jobs_that_nobody_reads() {
+    const JOBS: usize = 1_000;
+    const CONNECTIONS: usize = 800;
+    const REQUESTS: usize = 100;
+    const OBSERVATION: Duration = Duration::from_secs(12);
+    let _one = crowd::exclusive();
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    let cell = runtime.block_on(start());
+    let (address, pid) = (cell.instances[0].http, cell.instances[0].pid());
+    crowd::expect_answer(address, &job("big-key", 1), 200);
+    for _ in 1..JOBS {
+        crowd::request(address, &job("big-key", 1));
+    }
+    let list = "GET /v1/jobs HTTP/1.1\r\nhost: any\r\nauthorization: Bearer big-key\r\n\r\n";
+    let watch = Watch::start(pid, Ipv4Addr::LOCALHOST, Some(address.port()));
+    let requests = list.repeat(REQUESTS).into_bytes();
+    let clients = pipeline::send_without_reading(address, CONNECTIONS, &requests);
+    // The instance makes the responses one after the other.
+    std::thread::sleep(OBSERVATION);
+    crowd::expect_answer(address, &job("small-key", 1), 200);
+    crowd::expect_answer(address, list, 200);
+    let peak = watch.stop();
+    drop(clients);
+    println!("{peak} B");
+    assert!(peak <= MEMORY_MAX, "{peak} of {MEMORY_MAX} B");
+}
+
 macro_rules! withstands {
     ($($name:ident: $count:literal, $tasks:literal;)*) => {
         $(#[test]
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -4,7 +4,9 @@
 use std::io::ErrorKind;
 use std::time::Duration;
 
-use plantaincross::ingress::{Connections, Limits};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use plantaincross::ingress::{BUDGET_MIN_BYTES, Budget, Connections, Limits};
 use plantaincross::settings::Settings;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, duplex};
 use tokio::time::{Instant, sleep};
@@ -19,6 +21,7 @@
         idle,
         write,
         stall: write,
+        response: LONG,
     }
 }
 
@@ -127,3 +130,24 @@
     settings.divide(connections);
     assert_eq!(settings.connections, 1);
 }
+
+// Responses that are ready count until they are sent or dropped, and connections whose clients do
+// not read them can be closed.
+#[tokio::test]
+async fn long_responses_count_until_they_are_sent() {
+    let budget = Budget::new(BUDGET_MIN_BYTES);
+    let connections = Connections::new(1, limits(LONG, LONG, LONG));
+    let (connection, _) = connections.add(Instant::now()).expect("below the limit");
+    let body = Full::new(Bytes::from(vec![0; BUDGET_MIN_BYTES]));
+    let mut reply = connection.begin().until_sent(body, &budget);
+    assert!(!budget.has_unsent_responses());
+    let frame = reply.frame().await;
+    assert!(budget.has_unsent_responses());
+    connections.evict_slow_readers(Instant::now());
+    assert_eq!(connections.count(), 1, "it has just begun");
+    connections.evict_slow_readers(Instant::now() + 2 * LONG);
+    assert_eq!(connections.count(), 0);
+    connection.evicted().await;
+    drop(frame);
+    assert!(!budget.has_unsent_responses());
+}
