--- a/src/core/room.rs
+++ b/src/core/room.rs
@@ -17,8 +17,10 @@
 const SMALL_PART: usize = 4;
 /// Divisors of a machine's memory and disk that give the room for jobs. In memory there are the
 /// jobs, the latest snapshot and the one being written, on disk two snapshots and the log.
-const MEMORY_PART: usize = 10;
-const DISK_PART: usize = 5;
+const MEMORY_PART: usize = 5;
+const DISK_PART: usize = 3;
+/// What an account may hold as a multiple of what is left for all accounts.
+const ACCOUNT_FACTOR: usize = 3;
 /// Smallest room, in bytes. The part for large jobs holds the largest job that is valid, which
 /// takes 14 MB.
 const ROOM_MIN_BYTES: usize = 20_000_000;
@@ -94,7 +96,7 @@
 }
 
 impl Default for Room {
-    /// Returns the room on a machine of 640 MB.
+    /// Returns the room on a machine without limits.
     fn default() -> Self {
         Self {
             jobs: 30_000,
@@ -107,7 +109,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Shortage {
-    /// The account holds as much as is left for all accounts together.
+    /// The account holds too much of the room.
     Account,
     /// Too little is left for any account.
     Total,
@@ -143,12 +145,12 @@
     /// Decides whether a job of `bytes` bytes is accepted, given what all jobs and those of its
     /// account hold.
     ///
-    /// An account may hold as much as was left for all accounts before the job, so that any
-    /// number of accounts that submit without limit leave room for one more. A quarter of the
-    /// room is kept for small jobs.
+    /// An account may hold three times as much as was left for all accounts before the job, so
+    /// that any number of accounts that submit without limit leave room for one more. A quarter
+    /// of the room is kept for small jobs.
     ///
     /// Source: the dynamic threshold of Choudhury and Hahne, Dynamic Queue Length Thresholds for
-    /// Shared-Memory Packet Switches, with a factor of one.
+    /// Shared-Memory Packet Switches.
     ///
     /// # Errors
     ///
@@ -169,7 +171,11 @@
         if left.jobs == 0 || left.bytes < bytes {
             return Err(Shortage::Total);
         }
-        if account.jobs >= left.jobs || account.bytes + bytes > left.bytes {
+        let max = Amount {
+            jobs: ACCOUNT_FACTOR * left.jobs,
+            bytes: ACCOUNT_FACTOR * left.bytes,
+        };
+        if account.jobs >= max.jobs || account.bytes + bytes > max.bytes {
             return Err(Shortage::Account);
         }
         Ok(())
