--- a/tests/store.rs
+++ b/tests/store.rs
@@ -119,6 +119,20 @@
         assert!(err.contains("is damaged at byte"), "{err}");
     }
 
+    fn large_snapshot_is_recovered(temp) {
+        let (mut wal, _) = temp.open().expect("opens");
+        let snapshot = Snapshot {
+            index: 3,
+            term: 1,
+            data: vec![7; 40 << 20].into(),
+            ..Snapshot::default()
+        };
+        wal.compact(&snapshot, &[]).expect("written");
+        drop(wal);
+        let (_, stored) = temp.open().expect("opens again");
+        assert!(stored.snapshot == snapshot);
+    }
+
     fn damaged_snapshot_is_reported_and_refused(temp) {
         fill(&temp, 20);
         let (mut wal, _) = temp.open().expect("opens");
