Review: a large configuration stops the control instances for good

The configuration grows by 410 routes, forty times. At some 16,400 routes its log entry, which holds the document and its decoded form, exceeds the 4 MiB of a message between instances. Each link that is to carry it closes, nothing is committed any more, and accepted jobs stand still.

--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -9,10 +9,13 @@
 use crate::cell::{Caller, Cell, ZONES, configuration};
 use crate::http::Client;
 use crate::proxy::{self, Cut};
+use crate::record::Record;
 use crate::worker::{History, Seen, Site, Worker};
 use crate::{Context, Verdict};
 
 const SECOND: Duration = Duration::from_secs(1);
+/// Time after the end of the traffic at which jobs are asked for.
+const FINISH: Duration = Duration::from_secs(14);
 
 /// A worker and the cuts of its links.
 struct Linked {
@@ -25,8 +28,19 @@
     controls: Vec<SocketAddr>,
 }
 
-// Starts a worker whose links can be cut.
+// Starts a worker whose links can be cut, in the first life of its machine.
 fn linked_worker(context: &Context, cell: &Cell, at: u8, cpu: u64, history: &History) -> Linked {
+    linked_life(context, cell, at, 0, cpu, history)
+}
+
+fn linked_life(
+    context: &Context,
+    cell: &Cell,
+    at: u8,
+    life: u8,
+    cpu: u64,
+    history: &History,
+) -> Linked {
     let orders = Arc::new(Cut::default());
     let reports = Arc::new(Cut::default());
     let listener = cell.listener(50 + at);
@@ -42,7 +56,8 @@
     });
     let controls = controls.collect();
     let site = Site {
-        id: format!("i-{at:04}"),
+        id: format!("i-{at:02}-{life}"),
+        machine: format!("m-{at:02}"),
         zone: ZONES[usize::from(at) % ZONES.len()],
         rack: format!("r{}-{at}", at % 3),
         cpu,
@@ -93,6 +108,371 @@
     found
 }
 
+// Asks for jobs after the end of the traffic, and returns the number of those that are lost: they
+// get no answer, or are not completed and have had nothing running for 3 s. Nothing else may run
+// for most of that time, so that there is room for their tasks.
+fn lost_jobs(
+    record: &Record,
+    caller: &mut Caller,
+    accepted: &[String],
+    tasks: usize,
+    history: &History,
+) -> u32 {
+    const ANSWER: Duration = Duration::from_secs(5);
+    const IDLE_MS: u64 = 3_000;
+    let mut lost = 0;
+    let mut without_answer = 0;
+    for id in accepted.iter().rev() {
+        let deadline = Instant::now() + if without_answer == 0 { ANSWER } else { SECOND };
+        let mut state = (0, String::new());
+        while Instant::now() < deadline && state.0 != 200 {
+            state = caller.state(id);
+            sleep(Duration::from_millis(50));
+        }
+        without_answer += u32::from(state.0 != 200);
+        let history = history.lock().expect("history");
+        let runs = history
+            .iter()
+            .filter(|seen| seen.task.starts_with(id.as_str()));
+        let is_idle = |seen: &Seen| {
+            seen.ended
+                .is_some_and(|(at_ms, _)| at_ms + IDLE_MS < record.now_ms())
+        };
+        let done = runs
+            .clone()
+            .filter(|seen| matches!(seen.ended, Some((_, "done"))))
+            .count();
+        let stands_still = done < tasks && runs.clone().all(is_idle);
+        if state.0 != 200 || state.1 != "completed" && stands_still {
+            lost += 1;
+            record.line(&format!(
+                "LOST: GET {id}: {} {}; {done} of {tasks} tasks are done, none has run for 3 s",
+                state.0, state.1
+            ));
+        }
+        if without_answer > 5 {
+            record.line("no answer for six jobs; the others are not asked for");
+            break;
+        }
+    }
+    lost
+}
+
+/// A client account submits a gang that is larger than the fleet. Another account submits small
+/// jobs on a queue of less priority.
+pub fn large_gang(context: &Context) -> Verdict {
+    const WORKERS: u8 = 6;
+    // One of 20 jobs of the account is hopeless: the share of `poison` in the site file.
+    const JOBS: u32 = 20;
+    const HOPELESS: u32 = 10;
+    const INTERVAL: Duration = Duration::from_millis(800);
+
+    let record = &context.record;
+    let cell = Cell::start(&context.program, &context.folder, 2);
+    let (status, _) = cell.operate("PUT", "/config", &configuration(1, 0), 20 * SECOND);
+    record.line(&format!("PUT /config: {status}"));
+    let history = History::default();
+    let workers: Vec<Linked> = (0..WORKERS)
+        .map(|at| linked_worker(context, &cell, at, 8_000, &history))
+        .collect();
+    for linked in &workers {
+        linked.worker.report_to(linked.controls.clone());
+    }
+    if status != 200 || !cell.await_ready(10 * SECOND) {
+        return Verdict::NotRun;
+    }
+    sleep(2 * SECOND);
+    let mut first = Caller::new(cell.front_addresses());
+    let mut second = Caller::bulk(cell.front_addresses());
+    let mut accepted = Vec::new();
+    for number in 0..JOBS {
+        let id = format!("{:016x}", 0xa000 + number);
+        let is_hopeless = number == HOPELESS;
+        // 100 tasks of a core each, on a fleet of 48 cores.
+        let job = if is_hopeless {
+            r#"{"spec":"60000","steps":[{"count":100,"cpu":1000,"memMb":128,"estimateMs":60000,"gang":true}]}"#
+        } else {
+            r#"{"spec":"1000","steps":[{"count":4,"cpu":1000,"memMb":128,"estimateMs":1000,"gang":true}]}"#
+        };
+        if !is_hopeless || context.trouble {
+            let status = first.submit(&id, job, 5);
+            let what = if is_hopeless { " (100 tasks)" } else { "" };
+            record.line(&format!("POST /w/{id}{what}: {status}"));
+        }
+        let id = format!("{:016x}", 0xb000 + number);
+        let job =
+            r#"{"spec":"1000","steps":[{"count":2,"cpu":500,"memMb":128,"estimateMs":1000}]}"#;
+        let status = second.submit(&id, job, 5);
+        record.line(&format!("POST /b/{id}: {status}"));
+        if status == 200 {
+            accepted.push(id);
+        }
+        sleep(INTERVAL);
+    }
+    record.line("end of the traffic");
+    sleep(FINISH);
+    let lost = lost_jobs(record, &mut second, &accepted, 2, &history);
+    record.line(&format!(
+        "{} jobs on /b/ were accepted, {lost} are lost",
+        accepted.len()
+    ));
+    if accepted.is_empty() {
+        Verdict::NotRun
+    } else if lost > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
+/// Three workers lose power one after the other, each shortly after it has started the task of a
+/// service, and are back two seconds later.
+pub fn service_crashes(context: &Context) -> Verdict {
+    // One of seven workers is down at a time: the share of `srv_crash` in a site file is 0.14.
+    const WORKERS: u8 = 7;
+    const CRASHES: usize = 3;
+    const UP_AFTER_START: Duration = Duration::from_millis(150);
+    const DOWN: Duration = Duration::from_secs(2);
+    const CALM: Duration = Duration::from_secs(12);
+
+    let record = &context.record;
+    let cell = Cell::start(&context.program, &context.folder, 2);
+    let (status, _) = cell.operate("PUT", "/config", &configuration(1, 0), 20 * SECOND);
+    record.line(&format!("PUT /config: {status}"));
+    let history = History::default();
+    let mut workers: Vec<Linked> = (0..WORKERS)
+        .map(|at| linked_worker(context, &cell, at, 8_000, &history))
+        .collect();
+    for linked in &workers {
+        linked.worker.report_to(linked.controls.clone());
+    }
+    if status != 200 || !cell.await_ready(10 * SECOND) {
+        return Verdict::NotRun;
+    }
+    sleep(2 * SECOND);
+    let mut caller = Caller::new(cell.front_addresses());
+    let id = "5c0e7a21d94b36f8";
+    let job = r#"{"spec":"lasts","steps":[{"count":1,"cpu":1000,"memMb":128,"longRunning":true}]}"#;
+    let status = caller.submit(id, job, 5);
+    record.line(&format!("POST {id}: {status}"));
+    if status != 200 {
+        return Verdict::NotRun;
+    }
+    for crash in 0..CRASHES {
+        let starts = || history.lock().expect("history").len();
+        if !wait_for(15 * SECOND, || starts() > crash) {
+            break;
+        }
+        if !context.trouble {
+            sleep(DOWN + UP_AFTER_START);
+            break;
+        }
+        let host = history.lock().expect("history")[crash].worker.clone();
+        let Some(at) = workers.iter().position(|linked| linked.worker.id() == host) else {
+            return Verdict::NotRun;
+        };
+        sleep(UP_AFTER_START);
+        workers[at].worker.lose_power();
+        sleep(DOWN);
+        let life = linked_life(context, &cell, at as u8, crash as u8 + 1, 8_000, &history);
+        life.worker.report_to(life.controls.clone());
+        record.line(&format!("{} is up again as {}", host, life.worker.id()));
+        workers[at] = life;
+    }
+    sleep(CALM);
+    let (status, state) = caller.state(id);
+    record.line(&format!("GET {id}: {status} {state}"));
+    let history = history.lock().expect("history");
+    let failed_runs = history
+        .iter()
+        .filter(|s| matches!(s.ended, Some((_, "failed"))))
+        .count();
+    let running = history.iter().filter(|seen| seen.ended.is_none()).count();
+    record.line(&format!(
+        "{} runs, {failed_runs} of them ended `failed`, {running} running",
+        history.len()
+    ));
+    if state == "failed" {
+        record.line(
+            "LOST: shown as failed, though no run has ended `failed` and nobody cancelled it",
+        );
+        Verdict::Broken
+    } else if status == 200 {
+        Verdict::Held
+    } else {
+        Verdict::NotRun
+    }
+}
+
+/// The desired state grows by many routes, again and again, while clients submit jobs. After the
+/// end of the traffic each accepted job is asked for.
+pub fn many_routes(context: &Context) -> Verdict {
+    // Largest number of routes by which a day of the deployment grows the desired state.
+    const ROUTES: usize = 410;
+    const CHANGES: u64 = 40;
+    const CHANGE_INTERVAL: Duration = Duration::from_millis(1_200);
+    const WORK_MS: u64 = 1_500;
+
+    let record = &context.record;
+    let cell = Cell::start(&context.program, &context.folder, 2);
+    let (status, _) = cell.operate("PUT", "/config", &configuration(1, 0), 20 * SECOND);
+    record.line(&format!("PUT /config version 1: {status}"));
+    let history = History::default();
+    let workers: Vec<Linked> = (0..6)
+        .map(|at| linked_worker(context, &cell, at, 8_000, &history))
+        .collect();
+    for linked in &workers {
+        linked.worker.report_to(linked.controls.clone());
+    }
+    if status != 200 || !cell.await_ready(10 * SECOND) {
+        return Verdict::NotRun;
+    }
+    sleep(2 * SECOND);
+    let mut accepted = Vec::new();
+    std::thread::scope(|scope| {
+        let traffic = scope.spawn(|| {
+            let mut caller = Caller::new(cell.front_addresses());
+            let mut accepted = Vec::new();
+            let end = Instant::now() + CHANGE_INTERVAL * (CHANGES as u32 + 3);
+            let mut number = 0;
+            while Instant::now() < end {
+                number += 1;
+                let id = format!("{number:016x}");
+                let step = format!(r#"{{"count":2,"cpu":500,"memMb":128,"estimateMs":{WORK_MS}"#);
+                let job =
+                    format!(r#"{{"spec":"{WORK_MS}","steps":[{step}}},{step},"after":[0]}}]}}"#);
+                let status = caller.submit(&id, &job, 1);
+                record.line(&format!("POST {id}: {status}"));
+                if status == 200 {
+                    accepted.push(id);
+                }
+                sleep(Duration::from_millis(400));
+            }
+            accepted
+        });
+        for change in 1..=CHANGES {
+            let routes = if context.trouble {
+                change as usize * ROUTES
+            } else {
+                0
+            };
+            let body = configuration(change + 1, routes);
+            let began = Instant::now();
+            let (status, _) = cell.operate("PUT", "/config", &body, 4 * SECOND);
+            record.line(&format!(
+                "PUT /config version {} with {} routes, {} bytes: {status} after {} ms",
+                change + 1,
+                routes + 1,
+                body.len(),
+                began.elapsed().as_millis()
+            ));
+            sleep(CHANGE_INTERVAL.saturating_sub(began.elapsed()));
+            if status != 200 {
+                break;
+            }
+        }
+        accepted = traffic.join().unwrap_or_default();
+    });
+    record.line(&format!(
+        "end of the traffic; {} jobs were accepted",
+        accepted.len()
+    ));
+    sleep(FINISH);
+    let mut caller = Caller::new(cell.front_addresses());
+    let lost = lost_jobs(record, &mut caller, &accepted, 4, &history);
+    let starts = history.lock().expect("history").len();
+    record.line(&format!(
+        "{starts} runs were started, {lost} accepted jobs are lost"
+    ));
+    if accepted.is_empty() {
+        Verdict::NotRun
+    } else if lost > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
+/// Three services start one after the other on an empty fleet. The first run of each of their tasks
+/// fails at once, the later ones do not.
+pub fn services(context: &Context) -> Verdict {
+    const WORKERS: u8 = 4;
+    const TASKS: usize = 12;
+    const FAILS_AFTER_MS: u64 = 400;
+    const JOBS: [&str; 3] = ["00000000000000a1", "00000000000000b2", "00000000000000c3"];
+    // Time between the submissions: the tasks of the service before are at work again.
+    const INTERVAL: Duration = Duration::from_secs(16);
+    const END: Duration = Duration::from_secs(34);
+    // Time after a run from which on its task counts, and for which it may then not run.
+    const NOT_RUNNING_MS: u64 = 6_000 + 3_000;
+
+    let record = &context.record;
+    let cell = Cell::start(&context.program, &context.folder, 2);
+    let (status, _) = cell.operate("PUT", "/config", &configuration(1, 0), 20 * SECOND);
+    record.line(&format!("PUT /config: {status}"));
+    let history = History::default();
+    let workers: Vec<Linked> = (0..WORKERS)
+        .map(|at| linked_worker(context, &cell, at, 8_000, &history))
+        .collect();
+    for linked in &workers {
+        linked.worker.report_to(linked.controls.clone());
+    }
+    if status != 200 || !cell.await_ready(10 * SECOND) {
+        return Verdict::NotRun;
+    }
+    sleep(2 * SECOND);
+    let mut caller = Caller::new(cell.front_addresses());
+    let text = if context.trouble {
+        format!("lasts fails-after={FAILS_AFTER_MS}")
+    } else {
+        "lasts".to_owned()
+    };
+    for id in JOBS {
+        let job = format!(
+            r#"{{"spec":"{text}","steps":[{{"count":{TASKS},"cpu":500,"memMb":128,"longRunning":true,"maxPerServer":3}}]}}"#
+        );
+        let status = caller.submit(id, &job, 5);
+        record.line(&format!("POST {id}: {status}"));
+        if status != 200 {
+            return Verdict::NotRun;
+        }
+        sleep(INTERVAL);
+    }
+    sleep(END - INTERVAL);
+    let now_ms = record.now_ms();
+    for id in JOBS {
+        let (status, state) = caller.state(id);
+        record.line(&format!("GET {id}: {status} {state}"));
+    }
+    let history = history.lock().expect("history");
+    let mut longest_ms = 0;
+    for seen in history.iter() {
+        let Some((ended_ms, how)) = seen.ended else {
+            continue;
+        };
+        let next = history
+            .iter()
+            .find(|s| s.task == seen.task && s.run > seen.run);
+        let next_ms = next.map_or(now_ms, |next| next.started_ms);
+        let gap_ms = next_ms.saturating_sub(ended_ms);
+        longest_ms = longest_ms.max(gap_ms);
+        if gap_ms > NOT_RUNNING_MS {
+            record.line(&format!(
+                "LOST: {} lasts, its run {} ended ({how}) at {ended_ms} ms, and it did not run for {gap_ms} ms",
+                seen.task, seen.run
+            ));
+        }
+    }
+    record.line(&format!("longest time without a run: {longest_ms} ms"));
+    if history.len() < JOBS.len() * TASKS {
+        Verdict::NotRun
+    } else if longest_ms > NOT_RUNNING_MS {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
 /// A worker drains and announces its end while the link from the control instances to it is cut.
 /// It gets no confirmation and ends some seconds later, as the protocol says.
 pub fn departure(context: &Context) -> Verdict {
@@ -139,7 +519,9 @@
     let mut clients: Vec<Client> = linked.controls.iter().copied().map(Client::new).collect();
     worker.drain();
     let is_confirmed = worker.report(&mut clients);
-    record.line(&format!("{host}: the report that it drains is confirmed: {is_confirmed}"));
+    record.line(&format!(
+        "{host}: the report that it drains is confirmed: {is_confirmed}"
+    ));
     if !is_confirmed {
         return Verdict::NotRun;
     }
@@ -147,7 +529,9 @@
     if context.trouble {
         linked.orders.forth.store(true, Ordering::SeqCst);
         linked.reports.back.store(true, Ordering::SeqCst);
-        record.line(&format!("what the control instances send to {host} is held up"));
+        record.line(&format!(
+            "what the control instances send to {host} is held up"
+        ));
     }
     let cut_at = Instant::now();
     sleep(CUT_BEFORE);
--- a/review/standin-3/cell.rs
+++ b/review/standin-3/cell.rs
@@ -21,7 +21,10 @@
 
 /// Sends a signal to a process that the script has started.
 pub fn signal(pid: u32, name: &str) {
-    let sent = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status();
+    let sent = Command::new("kill")
+        .arg(format!("-{name}"))
+        .arg(pid.to_string())
+        .status();
     // The process may have ended by itself.
     let _ = sent;
 }
@@ -229,17 +232,6 @@
         self.child = Some(child);
     }
 
-    /// Returns the id of the process.
-    pub fn pid(&self) -> u32 {
-        self.child.as_ref().map_or(0, Child::id)
-    }
-
-    /// Returns whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        let ended = self.child.as_mut().map(Child::try_wait);
-        matches!(ended, Some(Ok(Some(_))))
-    }
-
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -258,46 +250,81 @@
     }
 }
 
-/// Returns a configuration with one queue `/w/` of the service `svc`, one client account and some
-/// further routes.
+/// Returns a configuration with the queues `/w/`, and `/b/` of less priority, of the service `svc`,
+/// two client accounts and some further routes.
 pub fn configuration(version: u64, routes: usize) -> String {
-    let route = |name: &str, prefix: &str| {
+    // The further routes have the fields of the example in PROTOCOL.md.
+    const ADVICE: &str = r#","advice":{"decideMs":82.0,"eachMs":1.2,"validMs":2000}"#;
+    let route = |name: &str, prefix: &str, priority: u32, advice: &str| {
         format!(
-            r#"{{"name":"{name}","host":"{HOST}","pathPrefix":"{prefix}","type":"non_idempotent","timeoutMs":3000,"sloMs":1000,"priority":1,"backend":"svc","maxAttempts":3,"stretch":2.2,"public":false}}"#
+            r#"{{"name":"{name}","host":"{HOST}","pathPrefix":"{prefix}","type":"non_idempotent","timeoutMs":3000,"sloMs":1000,"priority":{priority},"backend":"svc","maxAttempts":3,"stretch":2.2{advice},"public":false}}"#
         )
     };
-    let mut list = vec![route("r-work", "/w/")];
+    let mut list = vec![route("r-work", "/w/", 1, ""), route("r-bulk", "/b/", 2, "")];
     for at in 0..routes {
-        list.push(route(&format!("r-{at:07}"), &format!("/x{at:07}/")));
+        list.push(route(
+            &format!("r-{at:07}"),
+            &format!("/x{at:07}/"),
+            1,
+            ADVICE,
+        ));
     }
     format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"svc","healthPath":"/health","maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":false,"spare":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"t1","apiKeys":["{KEY}"],"priority":1,"weight":10,"cap":{{"cpu":0,"memMb":0,"gpu":0}}}}]}}"#,
-        list.join(",")
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"svc","healthPath":"/health","maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":false,"spare":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{},{}]}}"#,
+        list.join(","),
+        tenant("t1", KEYS[0]),
+        tenant("t2", KEYS[1])
+    )
+}
+
+fn tenant(name: &str, key: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","apiKeys":["{key}"],"priority":1,"weight":10,"cap":{{"cpu":0,"memMb":0,"gpu":0}}}}"#
     )
 }
 
-pub const KEY: &str = "k1k1k1k1k1k1k1k1k1k1";
+/// Keys of the two client accounts.
+pub const KEYS: [&str; 2] = ["k1k1k1k1k1k1k1k1k1k1", "k2k2k2k2k2k2k2k2k2k2"];
 
 /// Client that submits jobs and asks for them, at one entry instance after the other.
 #[derive(Debug)]
 pub struct Caller {
     addresses: Vec<SocketAddr>,
     next: usize,
+    prefix: &'static str,
+    key: &'static str,
 }
 
 impl Caller {
+    /// Creates a client of the first account that uses the queue `/w/`.
     pub const fn new(addresses: Vec<SocketAddr>) -> Self {
-        Self { addresses, next: 0 }
+        Self {
+            addresses,
+            next: 0,
+            prefix: "/w/",
+            key: KEYS[0],
+        }
+    }
+
+    /// Creates a client of the second account that uses the queue `/b/`, of less priority.
+    pub fn bulk(addresses: Vec<SocketAddr>) -> Self {
+        Self {
+            prefix: "/b/",
+            key: KEYS[1],
+            ..Self::new(addresses)
+        }
     }
 
     /// Sends one request. Returns the status, 0 without an answer, and the body.
     pub fn call(&mut self, method: &str, id: &str, body: &str) -> (u16, String) {
         let address = self.addresses[self.next % self.addresses.len()];
         self.next += 1;
+        let Self { prefix, key, .. } = self;
         let headers =
-            format!("Host: {HOST}\r\nAuthorization: Token {KEY}\r\nDeadline-Ms: 3000\r\n");
+            format!("Host: {HOST}\r\nAuthorization: Token {key}\r\nDeadline-Ms: 3000\r\n");
         let limit = Duration::from_millis(3_000);
-        let answer = Client::new(address).call(method, &format!("/w/{id}"), &headers, body, limit);
+        let answer =
+            Client::new(address).call(method, &format!("{prefix}{id}"), &headers, body, limit);
         answer.map_or((0, String::new()), |(status, body)| {
             (status, String::from_utf8_lossy(&body).into_owned())
         })
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -9,7 +9,6 @@
 /// Request with its whole body.
 #[derive(Debug)]
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
@@ -45,8 +44,7 @@
         let body = read_body(&mut reader, &headers)?;
         let mut words = start.split(' ');
         let request = Request {
-            method: words.next()?.to_owned(),
-            path: words.next()?.to_owned(),
+            path: words.nth(1)?.to_owned(),
             headers,
             body,
         };
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -49,7 +49,10 @@
     let folder = std::env::temp_dir().join(format!("review-3-{}-{}", case, std::process::id()));
     let program = PathBuf::from(program);
     if !program.exists() || std::fs::create_dir_all(&folder).is_err() {
-        eprintln!("no program at {}, or no temporary folder", program.display());
+        eprintln!(
+            "no program at {}, or no temporary folder",
+            program.display()
+        );
         return ExitCode::from(2);
     }
     let Ok(record) = Record::create(&PathBuf::from(record)) else {
@@ -71,7 +74,11 @@
         std::process::exit(2);
     });
     let verdict = match case.as_str() {
+        "11" => cases::many_routes(&context),
         "12" => cases::departure(&context),
+        "13" => cases::large_gang(&context),
+        "14" => cases::service_crashes(&context),
+        "15" => cases::services(&context),
         _ => Verdict::NotRun,
     };
     record.line(&format!("verdict: {verdict:?}"));
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -16,6 +16,10 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Time until an answer to a report counts as missing.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for which a task that lasts runs if nothing ends it, in milliseconds.
+const LASTING_MS: u64 = 24 * 3_600 * 1_000;
+/// Time until a task that lasts is at work.
+const STARTUP: Duration = Duration::from_millis(200);
 /// Number of ends in one list.
 const LISTED_ENDS_MAX: usize = 500;
 /// Interval at which the ends of runs are noticed.
@@ -41,6 +45,8 @@
     ends_at: Instant,
     began: Instant,
     work: Duration,
+    fails: bool,
+    lasts: bool,
     seen: usize,
 }
 
@@ -48,6 +54,8 @@
 struct State {
     /// Whether this life of the worker has ended.
     is_gone: bool,
+    /// Whether it ended without a word: its connections stay open and silent.
+    is_dark: bool,
     draining: bool,
     fence: u64,
     lease_until: u64,
@@ -62,6 +70,7 @@
 #[derive(Debug)]
 struct Inner {
     id: String,
+    machine: String,
     born_ms: u64,
     began: Instant,
     /// Address that the reports name.
@@ -83,6 +92,8 @@
 #[derive(Clone, Debug)]
 pub struct Site {
     pub id: String,
+    /// Machine of which this is one life.
+    pub machine: String,
     pub zone: &'static str,
     pub rack: String,
     pub cpu: u64,
@@ -96,6 +107,7 @@
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         let worker = Self(Arc::new(Inner {
             id: site.id,
+            machine: site.machine,
             born_ms: since_epoch.map_or(0, |d| d.as_millis() as u64),
             began: Instant::now(),
             address: site.address,
@@ -144,7 +156,7 @@
             };
             let inner = &self.0;
             format!(
-                r#"{{"backend":"svc","address":"{}","zone":"{}","version":"v1","slots":8,"state":"{}","coldRemainingMs":0{drain},"capacity":{{"cpu":{},"memMb":32768,"gpu":0}},"labels":["a","{}"],"wallClockMs":{},"sequence":{},"born":{},"machine":"m-{}"}}"#,
+                r#"{{"backend":"svc","address":"{}","zone":"{}","version":"v1","slots":8,"state":"{}","coldRemainingMs":0{drain},"capacity":{{"cpu":{},"memMb":32768,"gpu":0}},"labels":["a","{}"],"wallClockMs":{},"sequence":{},"born":{},"machine":"{}"}}"#,
                 inner.address,
                 inner.zone,
                 if state.draining { "draining" } else { "ready" },
@@ -153,7 +165,7 @@
                 self.clock_ms(),
                 state.sequence,
                 inner.born_ms,
-                inner.id,
+                inner.machine,
             )
         };
         let path = format!("/instances/{}", self.0.id);
@@ -190,6 +202,12 @@
         self.0.record.line(&format!("{} ends ({cause})", self.0.id));
     }
 
+    /// Ends this life as a loss of power does: nobody hears of it.
+    pub fn lose_power(&self) {
+        self.state().is_dark = true;
+        self.end("power lost");
+    }
+
     pub fn id(&self) -> &str {
         &self.0.id
     }
@@ -199,11 +217,6 @@
         self.state().is_gone
     }
 
-    /// Returns the number of runs.
-    pub fn running(&self) -> usize {
-        self.state().runs.len()
-    }
-
     fn state(&self) -> std::sync::MutexGuard<'_, State> {
         self.0.state.lock().expect("state lock")
     }
@@ -226,8 +239,12 @@
             .iter()
             .filter(|(_, run)| has_lapsed || now >= run.ends_at)
             .map(|(task, run)| {
-                let is_done = now >= run.ends_at;
-                (task.clone(), if is_done { "done" } else { "lapsed" })
+                let how = match (now >= run.ends_at, run.fails) {
+                    (true, false) => "done",
+                    (true, true) => "failed",
+                    (false, _) => "lapsed",
+                };
+                (task.clone(), how)
             })
             .collect();
         for (task, how) in &ended {
@@ -250,17 +267,30 @@
         state.finished.push((number, task.to_owned(), run.run, how));
         self.history()[run.seen].ended = Some((self.0.record.now_ms(), how));
         let id = &self.0.id;
-        self.0.record.line(&format!("{id} {task} run {}: {how}", run.run));
+        self.0
+            .record
+            .line(&format!("{id} {task} run {}: {how}", run.run));
     }
 
     fn handle(&self, request: &Request) -> Response {
+        let answer = self.answer_to(request);
+        while self.state().is_dark {
+            thread::sleep(REPORT_INTERVAL);
+        }
+        answer
+    }
+
+    fn answer_to(&self, request: &Request) -> Response {
         if self.is_gone() {
             return None;
         }
         if request.path == "/health" {
             return Some((200, "{}".to_owned()));
         }
-        if request.header("expect-instance").is_some_and(|id| id != self.0.id) {
+        if request
+            .header("expect-instance")
+            .is_some_and(|id| id != self.0.id)
+        {
             return Some((421, "{}".to_owned()));
         }
         let body = Json::parse(&request.body)?;
@@ -289,7 +319,10 @@
 
     fn refuse(&self, reason: &str) -> Response {
         let clock = self.clock_ms();
-        Some((409, format!(r#"{{"wallClockMs":{clock},"reason":"{reason}"}}"#)))
+        Some((
+            409,
+            format!(r#"{{"wallClockMs":{clock},"reason":"{reason}"}}"#),
+        ))
     }
 
     fn answer(&self) -> Response {
@@ -310,18 +343,32 @@
             self.extend_lease(&mut state, body);
             return self.answer();
         }
-        let is_old = state.closed.get(&task).is_some_and(|highest| run <= *highest)
+        let is_old = state
+            .closed
+            .get(&task)
+            .is_some_and(|highest| run <= *highest)
             || state.runs.get(&task).is_some_and(|found| run <= found.run);
         if is_old {
             self.extend_lease(&mut state, body);
             return self.refuse("old");
         }
-        if body.number("deadlineMs").is_none_or(|until| until <= self.clock_ms()) {
+        if body
+            .number("deadlineMs")
+            .is_none_or(|until| until <= self.clock_ms())
+        {
             return self.refuse("late");
         }
         self.extend_lease(&mut state, body);
-        // The text holds the time that the task takes, in milliseconds.
-        let work_ms = body.text("spec")?.parse().unwrap_or(1_000);
+        let text = body.text("spec")?;
+        let lasts = text.starts_with("lasts");
+        // Time after which the first run of a task fails.
+        let fails_after_ms = text.split_once("fails-after=").filter(|_| run == 1);
+        let fails_after_ms = fails_after_ms.and_then(|(_, ms)| ms.parse().ok());
+        let work_ms = match fails_after_ms {
+            Some(ms) => ms,
+            None if lasts => LASTING_MS,
+            None => text.parse().unwrap_or(1_000),
+        };
         let work = Duration::from_millis(work_ms);
         let now = Instant::now();
         let mut history = self.history();
@@ -334,12 +381,16 @@
             ended: None,
         });
         drop(history);
-        self.0.record.line(&format!("{} {task} run {run}: started", self.0.id));
+        self.0
+            .record
+            .line(&format!("{} {task} run {run}: started", self.0.id));
         let entry = Run {
             run,
             ends_at: now + work,
             began: now,
             work,
+            fails: fails_after_ms.is_some(),
+            lasts,
             seen,
         };
         state.runs.insert(task, entry);
@@ -357,7 +408,12 @@
             if left.is_zero() {
                 break;
             }
-            state = self.0.changed.wait_timeout(state, left).expect("state lock").0;
+            state = self
+                .0
+                .changed
+                .wait_timeout(state, left)
+                .expect("state lock")
+                .0;
         }
         if state.is_gone {
             return None;
@@ -367,7 +423,12 @@
             .iter()
             .map(|(task, run)| {
                 let share = run.began.elapsed().as_secs_f64() / run.work.as_secs_f64();
-                let percent = (share * 100.0).min(99.0) as u32;
+                // A task that lasts is at work after a short startup.
+                let percent = match run.lasts {
+                    true if run.began.elapsed() > STARTUP => 100,
+                    true => 0,
+                    false => (share * 100.0).min(99.0) as u32,
+                };
                 format!(r#"[{},{},"",{percent},1000]"#, quoted(task), run.run)
             })
             .collect();
