Departures: a silent worker keeps its runs until its lease ends

Cause: a worker that had announced its shutdown counted as gone once it left an inspection unanswered for 0.1 s. Its confirmation can get lost, and then it works on for seconds. Evidence: between `worker_departs` and `worker_gone` the leader's log has neither `order_lost` nor `unreached`, the lease of 6 s had been renewed less than 1 s before, and no list arrived.

Ruled out: a better sign of the end than silence. Holding the confirmation back until the runs are stopped: the worker takes no orders by then.

Change: an announcement ends no runs. Runs that are left 0.4 s before the end of the drain that a worker announces are stopped, so that its list shows their ends before it leaves; others end with their leases, which are not renewed after the announcement. The end of the incarnation is recorded once it has no runs, so that records of an earlier leader, on which `registered` ends runs, are true, too.

Tests: of the ten cases of tests/departures.rs five fail before ("run 2 starts on idle ... while it runs on w0"). The simulation answers waiting inspections when a stop ends a run, as the protocol says. `a_departing_worker_keeps_its_runs_until_it_is_gone` asked for a start within 1 s of the silent end of a worker, which is the fault. In its place are cases of workers that leave (1 s after the announced end), that cannot be reached (1 s after the lease) and that still answer (1 s after the announcement).

--- a/src/core/plane/lead/channel.rs
+++ b/src/core/plane/lead/channel.rs
@@ -159,25 +159,6 @@
     pub traits: Traits,
 }
 
-/// Announced shutdown of a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Shutdown {
-    /// Time of the announcement, or of a later answer of the worker.
-    pub announced_at: Moment,
-    /// Time at which the worker was inspected to find out whether it is gone.
-    pub probed_at: Option<Moment>,
-}
-
-impl Shutdown {
-    /// Creates the record of a shutdown that was announced at `at`.
-    pub const fn announced(at: Moment) -> Self {
-        Self {
-            announced_at: at,
-            probed_at: None,
-        }
-    }
-}
-
 /// Reply to an outstanding order.
 #[derive(Clone, Copy, Debug)]
 struct AwaitedReply {
@@ -284,8 +265,10 @@
     pub detection: Detection,
     /// Moving average of run times relative to the expected ones at the worker's learned speed.
     pub slowness: f64,
-    /// Shutdown that the worker announced.
-    pub departing: Option<Shutdown>,
+    /// Time at which the worker announced its shutdown.
+    pub departing_since: Option<Moment>,
+    /// Time at which its end was last proposed.
+    pub end_proposed_at: Option<Moment>,
     /// Time until which a task that may have crashed a worker has this one to itself.
     pub trial_until: Moment,
     /// Interval in which the worker is cold, if it reports that.
@@ -334,7 +317,8 @@
             excluded_until: Moment::ZERO,
             detection: Detection::default(),
             slowness: 1.0,
-            departing: None,
+            departing_since: None,
+            end_proposed_at: None,
             trial_until: Moment::ZERO,
             warm_up: None,
             drains_at: None,
@@ -575,7 +559,7 @@
         let mut replies = self.awaited_replies.iter();
         !self.adopted
             || self.unanswered_since.is_some()
-            || self.departing.is_some()
+            || self.departing_since.is_some()
             || self.inspection.is_none() && needs_inspection()
             || replies.any(|reply| reply.becomes_overdue(caught_up_to))
     }
@@ -588,12 +572,17 @@
             && self.unexpected == 0
             && self.unanswered_since.is_none()
             && !self.is_silent(caught_up_to)
-            && self.departing.is_none()
+            && self.departing_since.is_none()
             && !self.is_out_of_contact(caught_up_to, CONTACT_TIMEOUT)
             && now >= self.excluded_until
             && (self.failures(now) < FAILURE_SCORE_MAX || self.live.is_empty())
     }
 
+    /// Returns whether the worker shuts down, or may do so within `notice`.
+    pub fn is_leaving(&self, now: Moment, notice: Duration) -> bool {
+        self.departing_since.is_some() || self.drains_at.is_some_and(|at| now + notice >= at)
+    }
+
     /// Returns the lease expiry for an order sent now, in milliseconds on the worker's
     /// clock, or `None` if that clock is unknown.
     pub fn lease_end(&mut self, now: Moment, duration: Duration) -> Option<u64> {
--- a/src/core/plane/lead/condition.rs
+++ b/src/core/plane/lead/condition.rs
@@ -57,8 +57,11 @@
                 until: until.min(since + CONDITION_MAX),
             }
         });
-        self.drains_at = (condition.drain_remaining_ms > 0)
-            .then(|| now + remaining(condition.drain_remaining_ms));
+        // The earliest time counts. A worker that is past the announced time reports 0.
+        if condition.drain_remaining_ms > 0 {
+            let at = now + remaining(condition.drain_remaining_ms);
+            self.drains_at = Some(self.drains_at.map_or(at, |known| known.min(at)));
+        }
     }
 
     /// Returns the capacity that the worker is offered, of the `capacity` that it reports. Each
--- a/src/core/plane/lead/inspect.rs
+++ b/src/core/plane/lead/inspect.rs
@@ -74,8 +74,10 @@
         let caught_up_to = self.caught_up_to;
         let channel = self.channels.get_mut(key).expect("known worker");
         // An unresponsive worker may still receive orders. Its lease is not renewed, so
-        // that its runs expire and can start elsewhere.
-        let until = if channel.is_unresponsive(caught_up_to) || channel.live().is_empty() {
+        // that its runs expire and can start elsewhere. Neither is that of a worker that shuts
+        // down.
+        let has_ended = channel.departing_since.is_some() || channel.live().is_empty();
+        let until = if has_ended || channel.is_unresponsive(caught_up_to) {
             None
         } else {
             channel.lease_end(now.at, lease)
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -391,7 +391,7 @@
             Command::Register(report) => self.registered(now, state, &report.id),
             Command::Depart(worker) => {
                 let channel = self.channels.get(*worker);
-                let by = if channel.is_some_and(|channel| channel.departing.is_some()) {
+                let by = if channel.is_some_and(|channel| channel.departing_since.is_some()) {
                     "its announcement"
                 } else {
                     "another incarnation"
--- a/src/core/plane/lead/requests.rs
+++ b/src/core/plane/lead/requests.rs
@@ -1,6 +1,5 @@
 //! Queries from callers, workers and operators.
 
-use super::channel::Shutdown;
 use super::io::{Action, Answer, Call, Effect, Note, Query, Refusal, Request};
 use super::{Lead, Now};
 use crate::core::plane::job::{Annotation, Job, Status, Submission};
@@ -295,7 +294,7 @@
         if let Some(channel) = known.and_then(|key| self.channels.get_mut(key))
             && is_current
         {
-            channel.departing.get_or_insert(Shutdown::announced(now.at));
+            channel.departing_since.get_or_insert(now.at);
         }
         self.answer(call, Answer::Done);
     }
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::channel::{Channel, Live, REPLY_OVERDUE_MAX, Shutdown, Traits};
+use super::channel::{Channel, Live, Traits};
 use super::fence::Fence;
 use super::inspect::INSPECT_WAIT;
 use super::io::{Effect, Note, Order, SentOrder, Work};
@@ -20,9 +20,12 @@
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval at which an unanswered stop is repeated.
 const STOP_RETRY: Duration = Duration::from_millis(400);
-/// Time after which a worker that announced its shutdown is inspected. It counts as gone once
-/// it does not answer.
+/// Time from the announcement of a worker's shutdown to the record of its end, in which the ends
+/// of its runs are acknowledged.
 const DEPARTURE_DELAY: Duration = Duration::from_millis(300);
+/// Time before a worker may shut down at which its remaining runs are stopped, beyond the time
+/// that stopping takes.
+const HANDOVER_MARGIN: Duration = Duration::from_millis(200);
 /// A run without progress for this long is stopped and started elsewhere: three
 /// inspections. Workers report whole percentages, so longer runs get more time.
 const STUCK_MIN: Duration = Duration::from_millis(2_500);
@@ -62,7 +65,7 @@
                 self.speeds.remove(key);
                 continue;
             }
-            if !worker.departed && self.tick_departure(now, state, key) {
+            if !worker.departed && self.tick_departure(now, key) {
                 continue;
             }
             let channel = self.channels.get_mut(key).expect("not removed above");
@@ -94,39 +97,32 @@
         }
     }
 
-    // Inspects a worker that has announced its shutdown. It may run on for seconds if the answer
-    // to its announcement got lost, or the announcement may be that of an earlier incarnation.
-    // Returns whether the worker is gone.
-    fn tick_departure(&mut self, now: Now, state: &State, key: WorkerKey) -> bool {
-        let caught_up_to = self.caught_up_to;
+    // Records the end of a worker that has announced its shutdown and has no runs left. Silence does
+    // not show that it is gone: it works on for seconds if the answer to its announcement got
+    // lost. Returns whether the end is proposed.
+    fn tick_departure(&mut self, now: Now, key: WorkerKey) -> bool {
         let channel = self.channels.get_mut(key).expect("known worker");
-        let Some(shutdown) = channel.departing else {
+        let is_over = channel
+            .departing_since
+            .is_some_and(|since| now.at.since(since) >= DEPARTURE_DELAY);
+        if !is_over || !channel.live().is_empty() {
             return false;
-        };
-        match shutdown.probed_at {
-            None if now.at.since(shutdown.announced_at) > DEPARTURE_DELAY => {
-                channel.departing = Some(Shutdown {
-                    probed_at: Some(now.at),
-                    ..shutdown
-                });
-                self.probe(now, state, key);
-                false
-            }
-            Some(probed_at) if channel.heard_at > probed_at => {
-                channel.departing = Some(Shutdown::announced(now.at));
-                false
-            }
-            Some(probed_at) if caught_up_to.since(probed_at) >= REPLY_OVERDUE_MAX => {
-                channel.departing = Some(Shutdown::announced(now.at + COMMIT_TIMEOUT));
-                self.propose(Command::Depart(key), Vec::new());
-                true
-            }
-            _ => false,
         }
+        let is_proposed = channel
+            .end_proposed_at
+            .is_some_and(|at| now.at.since(at) < COMMIT_TIMEOUT);
+        if !is_proposed {
+            channel.end_proposed_at = Some(now.at);
+            self.propose(Command::Depart(key), Vec::new());
+        }
+        true
     }
 
     fn tick_runs(&mut self, now: Now, state: &State, key: WorkerKey) {
         let channel = &self.channels[key];
+        // The ends of stopped runs are listed before the worker is gone. Those that it takes with
+        // it start elsewhere only after their leases.
+        let is_leaving = channel.is_leaving(now.at, self.bounds.max_stop + HANDOVER_MARGIN);
         let mut stops = Vec::new();
         let mut stuck = 0;
         for (&task, live) in channel.live() {
@@ -141,6 +137,8 @@
                 stops.push((task, live.run, "stop order unanswered"));
             } else if live.stop_at.is_some() {
                 continue;
+            } else if is_leaving {
+                stops.push((task, live.run, "shutdown of its worker"));
             } else if is_stuck(now, state, task, live) {
                 stops.push((task, live.run, "no progress"));
                 stuck += 1;
@@ -230,7 +228,8 @@
         }
         let wanted = state.is_wanted(worker, task, run);
         let until = channel.lease_end(now.at, self.bounds.max_lease);
-        let (Some(until), true, false) = (until, wanted, assigned_worker.departed) else {
+        let is_leaving = assigned_worker.departed || channel.departing_since.is_some();
+        let (Some(until), true, false) = (until, wanted, is_leaving) else {
             self.end_as_void(state, worker, task, run, "not sent");
             return;
         };
@@ -477,7 +476,7 @@
         let Some(channel) = self.channels.get(key) else {
             return;
         };
-        if channel.departing.is_some() || state.worker(key).report.draining {
+        if channel.departing_since.is_some() || state.worker(key).report.draining {
             self.end_all_as_void(key, state, by);
         } else {
             self.end_all_as_crashed(key, state, by);
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -999,6 +999,7 @@
                     worker.end(*task, found, Termination::Stopped);
                     self.stops += 1;
                     self.record_waiting(*task);
+                    self.end_waits(at);
                 }
                 self.reply(order, at, Reply::Done(clock));
             }
@@ -1029,6 +1030,18 @@
         }
     }
 
+    // Ends the waits of the inspections on a worker, a run of which has ended by an order.
+    fn end_waits(&mut self, at: usize) {
+        let is_waiting =
+            |event: &Event| matches!(event, Event::Inspect(_, worker, _) if *worker == at as u64);
+        let waiting = self.events.iter().filter(|(_, event)| is_waiting(event));
+        let keys: Vec<(u64, u64)> = waiting.map(|(&key, _)| key).collect();
+        for key in keys {
+            let event = self.events.remove(&key).expect("listed above");
+            self.schedule(0, event);
+        }
+    }
+
     // Returns whether the queue of a task asks for permits in the configuration in force.
     fn needs_permit(&self, task: TaskName) -> bool {
         let name = &self.queue_names[&task.step.job];
