Gangs: no room is reserved for one that cannot start

Cause: `reserve_room` reserves room for the first gang whatever its size, and nothing asked whether the gang can start there at all. Evidence: `step_waits` says `room` for the small jobs, not `cap` or `round_limit`; there is no `worker_avoided`; without the gang all small jobs complete.

Change: room is reserved for a gang only if all its tasks fit at once beside the tasks that last, on the workers that have its label and are not denied by the permission service. Workers on which none of them fits beside tasks that last are left out of the reserve.

Tests: three of the four cases of gangs in tests/withheld_room.rs fail before (gang larger than the fleet, beside tasks that last, on too few permitted workers); the fourth (cap) and the other side, a gang of the whole fleet that gets its turn on a full fleet, held before, too. The simulation checks caps by account.

--- a/src/core/plane/lead/channel.rs
+++ b/src/core/plane/lead/channel.rs
@@ -75,6 +75,8 @@
 pub struct Traits {
     /// Processor time taken by urgent work, in thousandths of a core.
     pub urgent_cpu: i64,
+    /// Capacity taken by a task that lasts, which does not end by itself.
+    pub lasting: Resources,
     /// Whether the task has a response-time target for users of its own.
     pub serving: bool,
     /// Whether the task uses only processor time that others leave idle.
@@ -240,6 +242,8 @@
     pub unexpected: usize,
     /// Processor time taken by urgent runs, in thousandths of a core.
     pub urgent_cpu: i64,
+    /// Capacity taken by runs of tasks that last.
+    pub lasting: Resources,
     /// Number of runs with a response-time target for users of their own.
     pub serving: usize,
     /// Number of runs that use only processor time that others leave idle.
@@ -304,6 +308,7 @@
             inherited: 0,
             unexpected: 0,
             urgent_cpu: 0,
+            lasting: Resources::default(),
             serving: 0,
             best_effort: 0,
             images: Vec::new(),
@@ -358,6 +363,7 @@
     pub fn insert(&mut self, task: TaskName, live: Live) {
         self.remove(task);
         self.urgent_cpu += live.traits.urgent_cpu;
+        self.lasting += live.traits.lasting;
         self.serving += usize::from(live.traits.serving);
         self.best_effort += usize::from(live.traits.best_effort);
         self.inherited += usize::from(live.from.is_some());
@@ -377,6 +383,7 @@
         };
         self.ending -= usize::from(live.ending);
         self.urgent_cpu -= live.traits.urgent_cpu;
+        self.lasting -= live.traits.lasting;
         self.serving -= usize::from(live.traits.serving);
         self.best_effort -= usize::from(live.traits.best_effort);
         self.inherited -= usize::from(live.from.is_some());
--- a/src/core/plane/lead/mod.rs
+++ b/src/core/plane/lead/mod.rs
@@ -247,7 +247,7 @@
                     ordered_at: now.at,
                     traits: Traits {
                         image: lead.interference.image_of(state, task.step),
-                        ..workers::traits(state, *task, run.room.cpu)
+                        ..workers::traits(state, *task, run.room)
                     },
                     ..Live::default()
                 };
--- a/src/core/plane/lead/place.rs
+++ b/src/core/plane/lead/place.rs
@@ -72,6 +72,8 @@
 pub struct Target {
     /// Total capacity.
     pub capacity: Resources,
+    /// Capacity taken by tasks that last, which does not come free by itself.
+    pub lasting: Resources,
     /// Free capacity, available to urgent work.
     pub free: Resources,
     /// Free capacity for work that is not urgent: excludes the reserves for urgent work and
@@ -258,11 +260,7 @@
             Sharing::None => !target.busy,
             Sharing::LeastUsed => !target.on_trial,
         };
-        // Best-effort tasks would slow down serving tasks, so the two never share a
-        // worker.
-        required.resources.fits(free)
-            && may_share
-            && !(required.serving && target.best_effort || required.best_effort && target.serving)
+        required.resources.fits(free) && may_share && !is_disturbed(target, required)
     }
 
     /// Returns whether a task fits in the free capacity of a worker.
@@ -298,6 +296,15 @@
             .sum()
     }
 
+    /// Returns how many tasks would fit on the workers if nothing but tasks that last ran there.
+    pub fn attainable_fit_count(&self, workers: &[WorkerKey], required: &Requirement) -> usize {
+        self.add_examined(workers.len());
+        let targets = workers.iter().filter_map(|&key| self.get(key));
+        targets
+            .map(|target| attainable_fit_count(target, required))
+            .sum()
+    }
+
     /// Selects workers among `allowed` for up to `count` tasks, given how many tasks of the
     /// step each worker already runs. A worker is listed once for each task. Allocates
     /// nothing.
@@ -526,16 +533,14 @@
     }
 
     /// Reserves capacity for `count` tasks that do not fit yet on the workers closest to
-    /// fitting them, so that later work that is not urgent cannot use it.
+    /// fitting them, so that later work that is not urgent cannot use it. Workers on which none
+    /// would fit beside tasks that last are left out.
     pub fn reserve(&mut self, required: &Requirement, count: usize, allowed: &[WorkerKey]) {
         let mut closest: Vec<(i64, WorkerKey)> = allowed
             .iter()
             .filter_map(|&key| {
                 let target = self.get(key)?;
-                required
-                    .resources
-                    .fits(&target.capacity)
-                    .then_some((target.free.cpu, key))
+                (attainable_fit_count(target, required) > 0).then_some((target.free.cpu, key))
             })
             .collect();
         // Each worker takes at least one task.
@@ -550,7 +555,7 @@
                 return;
             }
             let target = self.get_mut(key).expect("listed above");
-            let reserved = fit_count_in(&target.capacity, required).clamp(1, remaining);
+            let reserved = attainable_fit_count(target, required).clamp(1, remaining);
             // Urgent work may still use the reserved capacity.
             target.free_non_urgent -= required.resources.times(reserved as i64);
             remaining -= reserved;
@@ -598,6 +603,20 @@
     usize::try_from(max.min(limit)).unwrap_or(0)
 }
 
+// Returns whether one of the tasks and the worker's would slow down the other. Best-effort tasks slow
+// down serving tasks, so the two never share a worker.
+const fn is_disturbed(target: &Target, required: &Requirement) -> bool {
+    required.serving && target.best_effort || required.best_effort && target.serving
+}
+
+// Returns how many tasks fit on a worker if nothing but tasks that last runs there.
+fn attainable_fit_count(target: &Target, required: &Requirement) -> usize {
+    if is_disturbed(target, required) {
+        return 0;
+    }
+    fit_count_in(&(target.capacity - target.lasting), required)
+}
+
 // Returns how many tasks fit in the free capacity of a worker that already runs `assigned` tasks of
 // the step.
 fn free_fit_count(target: &Target, required: &Requirement, assigned: u16) -> usize {
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -19,7 +19,7 @@
 use crate::core::share::{Claimant, divide};
 
 /// Maximum share of all processors reserved for waiting gangs. A larger reserve would leave
-/// the fleet idle. The first gang gets its reserve whatever its size.
+/// the fleet idle. The first gang gets its reserve whatever its size, if it can start at all.
 const GANG_RESERVE_SHARE: f64 = 0.3;
 /// Capacity provided for urgent work as a multiple of its recent peak.
 const URGENT_MARGIN: f64 = 1.2;
@@ -329,6 +329,7 @@
             let free = capacity - worker.used - channel.reserved;
             let target = Target {
                 capacity,
+                lasting: channel.lasting,
                 free,
                 free_non_urgent: free,
                 rack: channel.rack,
@@ -420,7 +421,7 @@
         };
         self.avoid_interference(state, name, &mut required);
         if permitted.as_ref().is_some_and(Vec::is_empty) && self.permits.is_waiting(now.at, name) {
-            let reserve = self.reserve_room(pending, spec, &required, &[], round);
+            let reserve = self.reserve_room(state, pending, &required, &[], round);
             return wait(WaitReason::Permit, 0, reserve);
         }
         let mut count = self.count_within_cap(state, job, spec, pending.count);
@@ -461,7 +462,7 @@
                 now, state, name, &required, permission, &eligible, targets, &existing, wanted,
             );
         }
-        let reserve = self.reserve_room(pending, spec, &required, &eligible, round);
+        let reserve = self.reserve_room(state, pending, &required, &eligible, round);
         let is_asking = queue.permission.is_some() && self.permits.is_waiting(now.at, name);
         let reason = if is_asking {
             WaitReason::Permit
@@ -541,23 +542,33 @@
     }
 
     // Reserves capacity for a gang that does not fit yet or waits for permits, so that later
-    // work does not take it in the meantime.
+    // work does not take it in the meantime. Without known permits it is reserved on `workers`.
+    // Nothing is reserved for a gang that would not fit if all but tasks that last had ended.
     fn reserve_room(
         &self,
+        state: &State,
         pending: &PendingStep,
-        spec: &StepSpec,
         required: &Requirement,
-        eligible: &[WorkerKey],
+        workers: &[WorkerKey],
         round: &mut Round,
     ) -> Option<Arc<Reserve>> {
-        if !spec.gang || !round.may_reserve() {
+        if !required.gang || !round.may_reserve() {
+            return None;
+        }
+        let job = &state.jobs[&pending.step.job];
+        let (spec, _) = job.step(pending.step)?;
+        let mut candidates = eligible(state, round, job, spec).to_vec();
+        if let Some(known) = self.permits.for_step(pending.step) {
+            candidates.retain(|key| !known.denied.contains(key));
+        }
+        if round.targets.attainable_fit_count(&candidates, required) < pending.count {
             return None;
         }
         let allowed = self.permitted_workers(pending.step, &round.targets);
         let reserve = Arc::new(Reserve {
             required: required.clone(),
             count: pending.count,
-            allowed: allowed.unwrap_or_else(|| eligible.to_vec()),
+            allowed: allowed.unwrap_or_else(|| workers.to_vec()),
         });
         round.reserve(&reserve);
         Some(reserve)
--- a/src/core/plane/lead/workers.rs
+++ b/src/core/plane/lead/workers.rs
@@ -10,7 +10,7 @@
 use super::{Lead, Now};
 use crate::core::plane::job::{Phase, Status};
 use crate::core::plane::state::{Command, End, Start, State};
-use crate::core::plane::types::{JobId, StepName, TaskName, Termination, WorkerKey};
+use crate::core::plane::types::{JobId, Resources, StepName, TaskName, Termination, WorkerKey};
 
 /// Time to wait for a reply beyond the requested delay: a hundred round trips.
 pub(super) const REPLY_TIMEOUT: Duration = Duration::from_millis(600);
@@ -211,7 +211,7 @@
             ordered_at: now.at,
             traits: Traits {
                 image: self.interference.image_of(state, task.step),
-                ..traits(state, task, record.room.cpu)
+                ..traits(state, task, record.room)
             },
             ..Live::default()
         };
@@ -520,7 +520,7 @@
 }
 
 /// Returns how a run affects the placement of other tasks on its worker, apart from its image.
-pub(super) fn traits(state: &State, task: TaskName, cpu: i64) -> Traits {
+pub(super) fn traits(state: &State, task: TaskName, room: Resources) -> Traits {
     let Some(job) = state.jobs.get(&task.step.job) else {
         return Traits::default();
     };
@@ -529,7 +529,12 @@
     };
     let is_urgent = state.queue(job.queue).priority == 0;
     Traits {
-        urgent_cpu: if is_urgent { cpu } else { 0 },
+        urgent_cpu: if is_urgent { room.cpu } else { 0 },
+        lasting: if spec.long_running {
+            room
+        } else {
+            Resources::default()
+        },
         serving: spec.target_ms > 0,
         best_effort: spec.best_effort,
         image: None,
--- a/tests/support/plane.rs
+++ b/tests/support/plane.rs
@@ -565,6 +565,22 @@
         })
     }
 
+    /// Has the operator add a client account without a cap.
+    pub fn add_account(&mut self, name: &str, key: &str) -> u64 {
+        let mut plan = self.state.config.clone();
+        plan.version += 1;
+        plan.accounts.push(Account {
+            name: name.to_owned(),
+            keys: vec![key.to_owned()],
+            weight: 10,
+            cap: Resources::default(),
+        });
+        self.query(Query::Configure {
+            plan: Box::new(plan),
+            document: Vec::new(),
+        })
+    }
+
     /// Replaces the leader by one whose state comes from a snapshot.
     pub fn take_over_from_snapshot(&mut self) {
         let snapshot = encode(&self.state);
@@ -1161,12 +1177,15 @@
         let call = &self.submit_calls[&task.step.job];
         let refused = matches!(self.answers.get(call), Some(Answer::Unavailable { .. }));
         assert!(!refused, "{task} starts although its job was refused");
-        let cap = self.state.accounts[0].cap;
+        let account_of = |job: JobId| self.state.jobs[&job].account.map_or(0, |key| key.0);
+        let account = account_of(task.step.job);
+        let cap = self.state.accounts[account as usize].cap;
         if cap != Resources::default() {
             let running = self.workers.iter().filter(|w| w.up);
             let needed: Resources = running
-                .flat_map(|w| w.runs.values())
-                .fold(spec.need, |sum, run| sum + run.room);
+                .flat_map(|w| w.runs.iter())
+                .filter(|(task, _)| account_of(task.step.job) == account)
+                .fold(spec.need, |sum, (_, run)| sum + run.room);
             assert!(
                 needed.is_within_cap(&cap),
                 "the account exceeds its cap: {needed:?}"
@@ -1409,6 +1428,12 @@
             .sum()
     }
 
+    /// Returns whether a task of a job runs on a worker that is up.
+    pub fn has_run(&self, job: u64) -> bool {
+        let mut up = self.workers.iter().filter(|w| w.up);
+        up.any(|w| w.runs.keys().any(|task| task.step.job == JobId(job)))
+    }
+
     pub fn draw(&mut self, below: u64) -> u64 {
         self.rng.random_range(0..below)
     }
