Trials: no worker is kept for suspects that cannot start

Cause: after a crash a worker is kept free for a task that may have caused it, also while the task's account is at its cap, and nothing but its start ends that. Evidence: the run ends as `Crashed`, its step waits with `cap` from then on and the job with the label with `room`, without a cap, a gang or an excluded worker.

Change: no worker is kept for suspects at their account's cap or without room beside tasks that last, and none on which they have no room. All members of a gang must fit.

Tests: both cases of suspects in tests/withheld_room.rs fail before. The other side, a suspect that gets its turn on a full fleet, held before, too.

--- a/src/core/plane/lead/place.rs
+++ b/src/core/plane/lead/place.rs
@@ -510,13 +510,14 @@
     }
 
     /// Keeps up to `count` workers for tasks that need them to themselves: those with the least
-    /// processor time in use. Workers that cannot run such a task are left out.
+    /// processor time in use. Workers without room for such a task beside tasks that last are left
+    /// out.
     pub fn keep(&mut self, count: usize, allowed: &[WorkerKey], required: &Requirement) {
         let mut least_used: Vec<(i64, WorkerKey)> = allowed
             .iter()
             .filter_map(|&key| Some((key, self.get(key)?)))
             .filter(|(_, target)| !target.kept && !target.on_trial)
-            .filter(|(_, target)| required.resources.fits(&target.capacity))
+            .filter(|(_, target)| attainable_fit_count(target, required) > 0)
             .map(|(key, target)| (target.capacity.cpu - target.free.cpu, key))
             .collect();
         least_used.sort_unstable();
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -574,6 +574,15 @@
         Some(reserve)
     }
 
+    /// Returns how many of a step's waiting tasks can start within the account's cap.
+    pub(super) fn pending_within_cap(&self, state: &State, pending: &PendingStep) -> usize {
+        let job = &state.jobs[&pending.step.job];
+        let step = job.step(pending.step);
+        step.map_or(0, |(spec, _)| {
+            self.count_within_cap(state, job, spec, pending.count)
+        })
+    }
+
     // Returns how many of `count` tasks can start within the account's cap. A gang starts
     // whole or not at all.
     fn count_within_cap(&self, state: &State, job: &Job, spec: &StepSpec, count: usize) -> usize {
--- a/src/core/plane/lead/trial.rs
+++ b/src/core/plane/lead/trial.rs
@@ -143,7 +143,9 @@
         (Sharing::LeastUsed, find(Sharing::LeastUsed))
     }
 
-    /// Keeps workers free of other tasks for the suspects that wait, the most urgent first.
+    /// Keeps workers free of other tasks for the suspects that wait, the most urgent first. None
+    /// is kept for suspects that cannot start yet: they have reached their account's cap, or
+    /// have no room beside tasks that last.
     pub(super) fn keep_workers_for_trials(
         &mut self,
         state: &State,
@@ -162,11 +164,18 @@
             let Trial::Waiting(suspects) = self.trial(state, pending.step) else {
                 continue;
             };
+            if self.pending_within_cap(state, pending) == 0 {
+                continue;
+            }
             let Some((required, allowed)) = self.trial_workers(state, pending, round) else {
                 continue;
             };
-            let is_gang = is_gang(state, pending.step);
-            let count = if is_gang {
+            // All members of a gang start at once.
+            let least = if required.gang { pending.count } else { 1 };
+            if round.targets.attainable_fit_count(&allowed, &required) < least {
+                continue;
+            }
+            let count = if required.gang {
                 workers_for(&round.targets, &required, pending.count, &allowed)
             } else if suspects.has_passed {
                 workers_for(&round.targets, &required, suspects.tasks.len(), &allowed)
@@ -195,11 +204,6 @@
     pub(super) empty_worker_wait_max: Duration,
 }
 
-fn is_gang(state: &State, name: StepName) -> bool {
-    let step = state.jobs.get(&name.job).and_then(|job| job.step(name));
-    step.is_some_and(|(spec, _)| spec.gang)
-}
-
 // Returns how many empty workers `count` tasks take.
 fn workers_for(
     targets: &Targets,
--- a/tests/withheld_room.rs
+++ b/tests/withheld_room.rs
@@ -1,4 +1,5 @@
-//! Room that is withheld from ready work for gangs that wait.
+//! Room that is withheld from ready work: for gangs that wait and for tasks that may have crashed a
+//! worker.
 
 #[path = "support/plane.rs"]
 mod support;
@@ -24,6 +25,10 @@
 };
 /// Label of a single worker.
 const LABEL: &str = "special";
+/// Time in which a worker that has crashed is back, and what can start has started.
+const RETURN_MAX_MS: u64 = 5_000;
+/// Time in which a task runs again after the crash of its worker, as promised to users.
+const RESTART_MAX_MS: u64 = 9_000;
 /// Time in which all tasks that run when a gang is submitted have ended, with a second for the rest.
 const TURN_MAX_MS: u64 = 2_000;
 /// Job for which room may be withheld.
@@ -147,6 +152,51 @@
     cell.run_for(100);
 }
 
+// Starts a job, and crashes its worker soon after, so that its task waits for a worker of its own.
+// By then a task that lasts has started.
+fn crash_before_service(cell: &mut Cell, step: StepSpec, service: StepSpec) {
+    cell.submit("wide", BLOCKED, vec![step], LONG_MS);
+    while cell.running() == 0 {
+        cell.step();
+    }
+    let at = cell.workers.iter().position(|w| !w.runs_are_empty());
+    let at = at.expect("a worker with the task");
+    cell.submit("wide", OTHER, vec![service], LONG_MS);
+    cell.run_for(10);
+    // It comes back with less room.
+    cell.workers[at].report.capacity.cpu /= 2;
+    cell.cut_power(at..at + 1);
+    cell.run_for(RETURN_MAX_MS);
+    assert!(cell.state.has_suspects());
+    assert!(!cell.has_run(BLOCKED), "the suspect runs");
+}
+
+fn assert_suspect_withholds_nothing(seed: u64, cap_cores: i64, prepare: fn(&mut Cell)) {
+    let mut cell = cell(seed, cap_cores);
+    // The worker that is kept: the first one in use by neither task.
+    label(&mut cell, 1);
+    prepare(&mut cell);
+    assert_small_jobs_start(&mut cell);
+    assert!(!cell.has_run(BLOCKED), "the suspect runs");
+}
+
+macro_rules! suspects_that_cannot_start {
+    ($($name:ident: $seed:expr, $cap_cores:expr, $prepare:expr;)*) => {
+        $(#[test] fn $name() { assert_suspect_withholds_nothing($seed, $cap_cores, $prepare); })*
+    };
+}
+
+// Guards against jobs that never start because the one worker that they may run on is kept for a
+// task that may have crashed another and cannot start there.
+suspects_that_cannot_start! {
+    a_suspect_beyond_its_cap_keeps_no_worker: 5, 4, |cell| {
+        crash_before_service(cell, tasks(1, 4, LONG_MS), lasting(1, 4));
+    };
+    a_suspect_without_room_beside_tasks_that_last_keeps_no_worker: 6, 0, |cell| {
+        crash_before_service(cell, tasks(1, 28, LONG_MS), lasting(WORKERS, 10));
+    };
+}
+
 // Submits small jobs that fill the fleet until the condition holds. Returns the time that took.
 fn fill_until(cell: &mut Cell, is_over: impl Fn(&Cell) -> bool) -> u64 {
     const STREAM: u64 = 1_000;
@@ -176,3 +226,24 @@
         "the gang waited for {waited_ms} ms"
     );
 }
+
+// Guards against tasks that may have crashed a worker and find none because other jobs take it.
+#[test]
+fn a_suspect_gets_its_turn_on_a_full_fleet() {
+    let mut cell = cell(8, 0);
+    cell.submit("wide", BLOCKED, vec![tasks(1, 4, LONG_MS)], LONG_MS);
+    while cell.running() == 0 {
+        cell.step();
+    }
+    let at = cell.workers.iter().position(|w| !w.runs_are_empty());
+    let at = at.expect("a worker with the task");
+    cell.run_for(10);
+    cell.cut_power(at..at + 1);
+    let waited_ms = fill_until(&mut cell, |cell| {
+        cell.state.has_suspects() && cell.has_run(BLOCKED)
+    });
+    assert!(
+        waited_ms <= RESTART_MAX_MS,
+        "the suspect waited for {waited_ms} ms"
+    );
+}
