Planning: withheld room is given up after 2 s on a mostly idle fleet

A ready job stood still on a fleet of which less than half was in use (LOST after 3 s) while room was withheld for a gang or a suspect that waited for a task of 60 s, or for urgent work after a burst that had ended.

Cause: nothing bounds the time for which room is withheld. The reserve for urgent work decays by round, and an idle fleet has few rounds.

Change: a step that has waited for 2 s without a break, while less than half of the capacity of its workers was in use, may use all withheld room but a worker with a task on trial.

Ruled out: counting the whole wait. Jobs that had queued up on a full fleet then took the room of a gang as soon as the fleet was half empty (3.1 s instead of 2 s to its turn).

Tests: three cases of tests/withheld_room.rs fail before; the cases of a large gang and a suspect that get their turn on a full fleet hold before and after.

--- a/src/core/plane/lead/place.rs
+++ b/src/core/plane/lead/place.rs
@@ -124,6 +124,8 @@
     pub resources: Resources,
     /// Whether the tasks may use capacity reserved for urgent work and for waiting gangs.
     pub urgent: bool,
+    /// Whether the tasks may use all capacity that is withheld, also on workers kept for trials.
+    pub ignores_reserves: bool,
     /// Rack that holds the step's data.
     pub data_rack: Option<u32>,
     /// Run time on other racks as a multiple of the run time on the data's rack.
@@ -250,13 +252,9 @@
     }
 
     fn fits(target: &Target, required: &Requirement) -> bool {
-        let free = if required.urgent {
-            &target.free
-        } else {
-            &target.free_non_urgent
-        };
+        let free = usable_capacity(target, required);
         let may_share = match required.sharing {
-            Sharing::Any => !target.kept && !target.on_trial,
+            Sharing::Any => (!target.kept || required.ignores_reserves) && !target.on_trial,
             Sharing::None => !target.busy,
             Sharing::LeastUsed => !target.on_trial,
         };
@@ -528,6 +526,20 @@
         }
     }
 
+    /// Returns whether less than half of the workers' capacity is in use, of each kind.
+    pub fn are_mostly_idle(&self, workers: &[WorkerKey]) -> bool {
+        let mut capacity = Resources::default();
+        let mut free = Resources::default();
+        for target in workers.iter().filter_map(|&key| self.get(key)) {
+            capacity += target.capacity;
+            free += target.free;
+        }
+        let is_mostly_free = |free: i64, capacity: i64| free * 2 >= capacity;
+        is_mostly_free(free.cpu, capacity.cpu)
+            && is_mostly_free(free.memory, capacity.memory)
+            && is_mostly_free(free.accelerators, capacity.accelerators)
+    }
+
     /// Returns the total processor capacity of the workers, in thousandths of a core.
     pub fn total_cpu(&self) -> i64 {
         self.iter().map(|(_, target)| target.capacity.cpu).sum()
@@ -604,6 +616,15 @@
     usize::try_from(max.min(limit)).unwrap_or(0)
 }
 
+// Returns the free capacity of a worker that the tasks may use.
+const fn usable_capacity<'a>(target: &'a Target, required: &Requirement) -> &'a Resources {
+    if required.urgent || required.ignores_reserves {
+        &target.free
+    } else {
+        &target.free_non_urgent
+    }
+}
+
 // Returns whether one of the tasks and the worker's would slow down the other. Best-effort tasks slow
 // down serving tasks, so the two never share a worker.
 const fn is_disturbed(target: &Target, required: &Requirement) -> bool {
@@ -624,11 +645,7 @@
     if !Targets::fits(target, required) {
         return 0;
     }
-    let free = if required.urgent {
-        &target.free
-    } else {
-        &target.free_non_urgent
-    };
+    let free = usable_capacity(target, required);
     let max = required.max_per_worker;
     let remaining = max.map_or(usize::MAX, |max| usize::from(max.saturating_sub(assigned)));
     fit_count_in(free, required).min(remaining)
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -27,6 +27,11 @@
 /// at 50 rounds per second.
 const URGENT_DECAY_PER_ROUND: f64 = 0.0014;
 
+/// Time after which a step may use room that is withheld, if less than half of its workers'
+/// capacity has been in use meanwhile. Users are promised that no job stands still for 3 s on such a
+/// fleet.
+const WITHHELD_MAX: Duration = Duration::from_millis(2_000);
+
 /// Minimum stretch of a queue whose steps may prefer slow workers. An estimate that is nine tenths
 /// too low makes the fixed part of a goal look like slack.
 const SLACK_STRETCH_MIN: f64 = 2.0;
@@ -59,7 +64,14 @@
     starts: Vec<Start>,
     budget: Budget,
     /// Eligible workers by service and label.
-    eligible: HashMap<(String, Option<String>), Rc<Vec<WorkerKey>>>,
+    eligible: HashMap<(String, Option<String>), Rc<Eligible>>,
+}
+
+/// Workers of a service that have a label.
+struct Eligible {
+    workers: Vec<WorkerKey>,
+    /// Whether less than half of their capacity was in use when the round first needed them.
+    are_mostly_idle: bool,
 }
 
 impl Round {
@@ -365,6 +377,7 @@
         let wait = |reason| Outcome {
             reason,
             count,
+            has_idle_workers: false,
             search_at: now.at,
             reserve: None,
         };
@@ -394,10 +407,13 @@
         let job = &state.jobs[&name.job];
         let (spec, _) = job.step(name)?;
         let search_at = now.at + search_interval(Duration::from_millis(spec.estimate_ms));
+        let eligible = eligible(state, round, job, spec);
+        let has_idle_workers = eligible.are_mostly_idle;
         let wait = |reason, placed: usize, reserve| {
             Some(Outcome {
                 reason,
                 count: pending.count - placed,
+                has_idle_workers,
                 search_at,
                 reserve,
             })
@@ -417,6 +433,8 @@
         let mut required = Requirement {
             single_zone: self.outlasted_by_lease(job, queue, pending),
             urgency: self.urgency(now, job, queue, pending),
+            ignores_reserves: has_idle_workers
+                && self.waits.starved_for(now.at, name) >= WITHHELD_MAX,
             ..self.requirement(spec, queue, !suspects.is_empty())
         };
         self.avoid_interference(state, name, &mut required);
@@ -428,8 +446,7 @@
         if !suspects.is_empty() && !spec.gang {
             count = count.min(suspects.len());
         }
-        let eligible = eligible(state, round, job, spec);
-        let allowed = permitted.as_ref().unwrap_or(&eligible);
+        let allowed = permitted.as_ref().unwrap_or(&eligible.workers);
         let existing = self.tasks_by_worker(state, name, spec);
         let found = if let Trial::Waiting(suspects) = &trial {
             let search = Search {
@@ -459,10 +476,18 @@
             let targets = &round.targets;
             let wanted = pending.count - placed;
             self.request_permits(
-                now, state, name, &required, permission, &eligible, targets, &existing, wanted,
+                now,
+                state,
+                name,
+                &required,
+                permission,
+                &eligible.workers,
+                targets,
+                &existing,
+                wanted,
             );
         }
-        let reserve = self.reserve_room(state, pending, &required, &eligible, round);
+        let reserve = self.reserve_room(state, pending, &required, &eligible.workers, round);
         let is_asking = queue.permission.is_some() && self.permits.is_waiting(now.at, name);
         let reason = if is_asking {
             WaitReason::Permit
@@ -497,7 +522,8 @@
         let (spec, _) = job.step(pending.step)?;
         let required = self.requirement(spec, state.queue(job.queue), true);
         let permitted = self.permitted_workers(pending.step, &round.targets);
-        let allowed = permitted.unwrap_or_else(|| eligible(state, round, job, spec).to_vec());
+        let allowed =
+            permitted.unwrap_or_else(|| eligible(state, round, job, spec).workers.clone());
         Some((required, allowed))
     }
 
@@ -557,7 +583,7 @@
         }
         let job = &state.jobs[&pending.step.job];
         let (spec, _) = job.step(pending.step)?;
-        let mut candidates = eligible(state, round, job, spec).to_vec();
+        let mut candidates = eligible(state, round, job, spec).workers.clone();
         if let Some(known) = self.permits.for_step(pending.step) {
             candidates.retain(|key| !known.denied.contains(key));
         }
@@ -739,6 +765,7 @@
         urgency: 0.0,
         serving: spec.target_ms > 0,
         best_effort: spec.best_effort,
+        ignores_reserves: false,
         sharing: Sharing::Any,
         marks: Marks::default(),
         avoided: Vec::new(),
@@ -747,7 +774,7 @@
 
 // Returns the workers of the job's service that have the step's label. The result is cached
 // for the round.
-fn eligible(state: &State, round: &mut Round, job: &Job, spec: &StepSpec) -> Rc<Vec<WorkerKey>> {
+fn eligible(state: &State, round: &mut Round, job: &Job, spec: &StepSpec) -> Rc<Eligible> {
     let service = state.queue(job.queue).service.as_str();
     let key = (service.to_owned(), spec.label.clone());
     if let Some(known) = round.eligible.get(&key) {
@@ -757,15 +784,17 @@
         let label = spec.label.as_ref();
         label.is_none_or(|label| labels.contains(label))
     };
-    let found: Rc<Vec<WorkerKey>> = Rc::new(
-        round
-            .targets
-            .iter()
-            .map(|(key, _)| (key, &state.worker(key).report))
-            .filter(|(_, report)| report.service == service && has_label(&report.labels))
-            .map(|(key, _)| key)
-            .collect(),
-    );
+    let workers: Vec<WorkerKey> = round
+        .targets
+        .iter()
+        .map(|(key, _)| (key, &state.worker(key).report))
+        .filter(|(_, report)| report.service == service && has_label(&report.labels))
+        .map(|(key, _)| key)
+        .collect();
+    let found = Rc::new(Eligible {
+        are_mostly_idle: round.targets.are_mostly_idle(&workers),
+        workers,
+    });
     round.eligible.insert(key, Rc::clone(&found));
     found
 }
--- a/src/core/plane/lead/waiting.rs
+++ b/src/core/plane/lead/waiting.rs
@@ -51,6 +51,8 @@
     pub(super) reason: WaitReason,
     /// Number of tasks left waiting.
     pub(super) count: usize,
+    /// Whether the workers that may run the step were mostly idle.
+    pub(super) has_idle_workers: bool,
     /// Time of the next search.
     pub(super) search_at: Moment,
     /// Capacity to reserve until then.
@@ -60,6 +62,9 @@
 #[derive(Clone, Debug)]
 struct Wait {
     since: Moment,
+    /// Time since which the step has waited for room or permits while its workers were mostly
+    /// idle.
+    starved_since: Option<Moment>,
     noted_at: Moment,
     outcome: Outcome,
 }
@@ -78,6 +83,13 @@
         (now < outcome.search_at && count == outcome.count).then_some(outcome)
     }
 
+    /// Returns how long a step has waited while its workers were mostly idle.
+    pub(super) fn starved_for(&self, now: Moment, step: StepName) -> Duration {
+        let wait = self.steps.get(&step);
+        let since = wait.and_then(|wait| wait.starved_since);
+        since.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
     /// Makes the next search for a step due.
     pub(super) fn search_now(&mut self, step: StepName) {
         if let Some(wait) = self.steps.get_mut(&step) {
@@ -92,6 +104,15 @@
         for (step, outcome) in waiting {
             let known = self.steps.get(&step);
             let (since, mut noted_at) = known.map_or((now, now), |w| (w.since, w.noted_at));
+            let starved_since = known.and_then(|w| w.starved_since);
+            let starved_since = match outcome.reason {
+                WaitReason::Room | WaitReason::Permit if outcome.has_idle_workers => {
+                    starved_since.or(Some(now))
+                }
+                // No workers were searched.
+                WaitReason::RoundLimit | WaitReason::LeaderBehind => starved_since,
+                _ => None,
+            };
             if now.since(noted_at) >= WAIT_NOTE_INTERVAL {
                 noted_at = now;
                 notes.push(Note::StepWaits {
@@ -103,6 +124,7 @@
             }
             let wait = Wait {
                 since,
+                starved_since,
                 noted_at,
                 outcome,
             };
--- a/tests/withheld_room.rs
+++ b/tests/withheld_room.rs
@@ -152,6 +152,35 @@
     cell.run_for(100);
 }
 
+// Guards against jobs that wait on a mostly idle fleet until a long task ends, because room is
+// withheld from them for a gang that waits for that.
+gangs_that_cannot_start! {
+    a_gang_that_waits_for_a_long_task_does_not_withhold_room_for_long: 9, 0, |cell| {
+        cell.submit("wide", OTHER, vec![tasks(1, 8, LONG_MS)], LONG_MS);
+        cell.run_for(500);
+        cell.submit("wide", BLOCKED, vec![gang(WORKERS, CORES)], LONG_MS);
+    };
+}
+
+// Guards against tasks of a whole worker that wait on an idle fleet, because part of each worker is
+// withheld from them for urgent work that has ended.
+#[test]
+fn a_task_of_a_whole_worker_starts_after_a_burst_of_urgent_work() {
+    let mut cell = cell(10, 0);
+    cell.submit_series(
+        "urgent",
+        (SMALL, 20),
+        50,
+        |_| vec![tasks(8, 4, SHORT_MS)],
+        SHORT_MS,
+    );
+    cell.run_for(IDLE_MAX_MS);
+    assert_eq!(cell.running(), 0);
+    cell.submit("batch", BLOCKED, vec![tasks(1, CORES, SHORT_MS)], SHORT_MS);
+    cell.run_for(IDLE_MAX_MS);
+    assert!(cell.first_start.contains_key(&first_step(BLOCKED)));
+}
+
 // Starts a job, and crashes its worker soon after, so that its task waits for a worker of its own.
 // By then a task that lasts has started.
 fn crash_before_service(cell: &mut Cell, step: StepSpec, service: StepSpec) {
@@ -197,6 +226,18 @@
     };
 }
 
+// Guards against jobs that wait on a mostly idle fleet until a long task ends, because their worker is
+// kept for a task that may have crashed another and waits for that.
+suspects_that_cannot_start! {
+    a_suspect_that_waits_for_a_long_task_does_not_keep_a_worker_for_long: 11, 0, |cell| {
+        let long = StepSpec {
+            max_per_worker: 1,
+            ..tasks(WORKERS, 10, LONG_MS)
+        };
+        crash_before_service(cell, tasks(1, 28, LONG_MS), long);
+    };
+}
+
 // Submits small jobs that fill the fleet until the condition holds. Returns the time that took.
 fn fill_until(cell: &mut Cell, is_over: impl Fn(&Cell) -> bool) -> u64 {
     const STREAM: u64 = 1_000;
