Planning: the check of a reserve does not count as examined workers

Cause: the check whether a gang fits beside tasks that last counted its workers as examined. A round ends after a number of examined workers, so that it came to fewer steps.

The workers are no longer copied for the check.

--- a/src/core/plane/lead/place.rs
+++ b/src/core/plane/lead/place.rs
@@ -295,9 +295,12 @@
     }
 
     /// Returns how many tasks would fit on the workers if nothing but tasks that last ran there.
-    pub fn attainable_fit_count(&self, workers: &[WorkerKey], required: &Requirement) -> usize {
-        self.add_examined(workers.len());
-        let targets = workers.iter().filter_map(|&key| self.get(key));
+    pub fn attainable_fit_count(
+        &self,
+        workers: impl IntoIterator<Item = WorkerKey>,
+        required: &Requirement,
+    ) -> usize {
+        let targets = workers.into_iter().filter_map(|key| self.get(key));
         targets
             .map(|target| attainable_fit_count(target, required))
             .sum()
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -583,11 +583,12 @@
         }
         let job = &state.jobs[&pending.step.job];
         let (spec, _) = job.step(pending.step)?;
-        let mut candidates = eligible(state, round, job, spec).workers.clone();
-        if let Some(known) = self.permits.for_step(pending.step) {
-            candidates.retain(|key| !known.denied.contains(key));
-        }
-        if round.targets.attainable_fit_count(&candidates, required) < pending.count {
+        let eligible = eligible(state, round, job, spec);
+        let known = self.permits.for_step(pending.step);
+        let is_denied = |key: &WorkerKey| known.is_some_and(|known| known.denied.contains(key));
+        let candidates = eligible.workers.iter().copied();
+        let candidates = candidates.filter(|key| !is_denied(key));
+        if round.targets.attainable_fit_count(candidates, required) < pending.count {
             return None;
         }
         let allowed = self.permitted_workers(pending.step, &round.targets);
--- a/src/core/plane/lead/trial.rs
+++ b/src/core/plane/lead/trial.rs
@@ -172,7 +172,8 @@
             };
             // All members of a gang start at once.
             let least = if required.gang { pending.count } else { 1 };
-            if round.targets.attainable_fit_count(&allowed, &required) < least {
+            let workers = allowed.iter().copied();
+            if round.targets.attainable_fit_count(workers, &required) < least {
                 continue;
             }
             let count = if required.gang {
