Planning: comments on idle workers name the bound that the code has

`Targets::are_mostly_idle` holds where at least half of the capacity is free, so that workers of which exactly half is in use count as idle.

--- a/src/core/plane/lead/place.rs
+++ b/src/core/plane/lead/place.rs
@@ -529,7 +529,7 @@
         }
     }
 
-    /// Returns whether less than half of the workers' capacity is in use, of each kind.
+    /// Returns whether at least half of the workers' capacity is free, of each kind.
     pub fn are_mostly_idle(&self, workers: &[WorkerKey]) -> bool {
         let mut capacity = Resources::default();
         let mut free = Resources::default();
--- a/src/core/plane/lead/plan.rs
+++ b/src/core/plane/lead/plan.rs
@@ -27,8 +27,8 @@
 /// at 50 rounds per second.
 const URGENT_DECAY_PER_ROUND: f64 = 0.0014;
 
-/// Time after which a step may use room that is withheld, if less than half of its workers'
-/// capacity has been in use meanwhile. Users are promised that no job stands still for 3 s on such a
+/// Time after which a step may use room that is withheld, if at least half of its workers'
+/// capacity has been free meanwhile. Users are promised that no job stands still for 3 s on such a
 /// fleet.
 const WITHHELD_MAX: Duration = Duration::from_millis(2_000);
 
@@ -70,7 +70,7 @@
 /// Workers of a service that have a label.
 struct Eligible {
     workers: Vec<WorkerKey>,
-    /// Whether less than half of their capacity was in use when the round first needed them.
+    /// Whether at least half of their capacity was free when the round first needed them.
     are_mostly_idle: bool,
 }
 
